--- /dev/null
+++ b/benchmark/src/main/java/io/hingehoist/cluster/ClusterShape.java
@@ -0,0 +1,33 @@
+package io.hingehoist.cluster;
+
+import java.util.Map;
+
+/**
+ * What a local cluster consists of.
+ *
+ * @param servers processes with the roles entry and control, each in a zone of its own
+ * @param agents agents, spread over the zones
+ * @param service the service that the backend servers offer
+ * @param slots the slots of each agent
+ * @param controlSettings values that differ from the defaults of the control section
+ */
+public record ClusterShape(
+    int servers, int agents, String service, int slots, Map<String, String> controlSettings) {
+
+  /** Copies the settings. */
+  public ClusterShape {
+    controlSettings = Map.copyOf(controlSettings);
+  }
+
+  /** Returns a shape with the default settings. */
+  public static ClusterShape of(int servers, int agents, String service, int slots) {
+    return new ClusterShape(servers, agents, service, slots, Map.of());
+  }
+
+  /** Returns this shape with one more value of the control section. */
+  public ClusterShape withControl(String field, String value) {
+    Map<String, String> settings = new java.util.HashMap<>(controlSettings);
+    settings.put(field, value);
+    return new ClusterShape(servers, agents, service, slots, settings);
+  }
+}
--- /dev/null
+++ b/benchmark/src/main/java/io/hingehoist/cluster/LocalCluster.java
@@ -0,0 +1,316 @@
+package io.hingehoist.cluster;
+
+import io.hingehoist.standin.Relay;
+import io.hingehoist.standin.StandInBackend;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+
+/**
+ * Servers, agents and stand-in backend servers on loopback addresses, each address with a relay in
+ * front of it. Not thread-safe.
+ *
+ * <p>Each cluster takes a network of its own, 127.x, so that several can run on one machine.
+ */
+public final class LocalCluster implements AutoCloseable {
+  private static final int CONTROL_PORT = 7_100;
+  private static final int CONTROL_BIND_PORT = 17_100;
+  private static final int HTTP_PORT = 8_080;
+  private static final int AGENT_PORT = 7_200;
+  private static final int AGENT_BIND_PORT = 17_200;
+  private static final int BACKEND_PORT = 9_000;
+  private static final int METRICS_PORT = 7_300;
+  private static final Duration HTTP_TIMEOUT = Duration.ofSeconds(5);
+
+  private final Path folder;
+  private final ClusterShape shape;
+  private final int network = ThreadLocalRandom.current().nextInt(2, 250);
+  private final Map<String, NodeProcess> processes = new LinkedHashMap<>();
+  private final Map<String, Relay> relays = new LinkedHashMap<>();
+  private final Map<String, StandInBackend> backends = new LinkedHashMap<>();
+  private final HttpClient http = HttpClient.newBuilder().connectTimeout(HTTP_TIMEOUT).build();
+
+  private LocalCluster(Path folder, ClusterShape shape) {
+    this.folder = folder;
+    this.shape = shape;
+  }
+
+  /** Writes the settings files of a cluster, and opens relays and backend servers. */
+  public static LocalCluster create(Path folder, ClusterShape shape) throws IOException {
+    LocalCluster cluster = new LocalCluster(folder, shape);
+    Files.createDirectories(folder);
+    for (int i = 1; i <= shape.servers(); i++) {
+      cluster.addServer(i);
+    }
+    for (int i = 1; i <= shape.agents(); i++) {
+      cluster.addAgent(i);
+    }
+    return cluster;
+  }
+
+  private String serverIp(int i) {
+    return "127." + network + ".1." + i;
+  }
+
+  private String agentIp(int i) {
+    return "127." + network + ".2." + i;
+  }
+
+  private String controlAddresses() {
+    List<String> addresses = new ArrayList<>();
+    for (int i = 1; i <= shape.servers(); i++) {
+      addresses.add(serverIp(i) + ":" + CONTROL_PORT);
+    }
+    return String.join(", ", addresses);
+  }
+
+  private void addServer(int i) throws IOException {
+    String name = "server-" + i;
+    Path home = Files.createDirectories(folder.resolve(name));
+    String extra =
+        shape.controlSettings().entrySet().stream()
+            .map(e -> "  " + e.getKey() + ": " + e.getValue() + "\n")
+            .collect(Collectors.joining());
+    Files.writeString(
+        home.resolve("settings.yaml"),
+        """
+        node:
+          nodeId: %s
+          roles: [entry, control]
+          zone: zone-%d
+          controlAddresses: [%s]
+          dataFolder: %s
+        control:
+          listenAddress: %s:%d
+          bindAddress: %s:%d
+        %sentry:
+          httpAddress: %s:%d
+        """
+            .formatted(
+                name,
+                i,
+                controlAddresses(),
+                home.resolve("data"),
+                serverIp(i),
+                CONTROL_PORT,
+                serverIp(i),
+                CONTROL_BIND_PORT,
+                extra,
+                serverIp(i),
+                HTTP_PORT));
+    relays.put(name, Relay.open(serverIp(i), CONTROL_PORT, serverIp(i), CONTROL_BIND_PORT));
+    processes.put(name, process(name, home, NodeProcess.serverFlags()));
+  }
+
+  private void addAgent(int i) throws IOException {
+    String name = "agent-" + i;
+    Path home = Files.createDirectories(folder.resolve(name));
+    Files.writeString(
+        home.resolve("settings.yaml"),
+        """
+        node:
+          nodeId: %s
+          roles: [agent]
+          zone: zone-%d
+          controlAddresses: [%s]
+        agent:
+          listenAddress: %s:%d
+          bindAddress: %s:%d
+          service: %s
+          backendUrl: http://%s:%d/
+          slots: %d
+          metricsAddress: %s:%d
+        """
+            .formatted(
+                name,
+                (i - 1) % Math.max(1, shape.servers()) + 1,
+                controlAddresses(),
+                agentIp(i),
+                AGENT_PORT,
+                agentIp(i),
+                AGENT_BIND_PORT,
+                shape.service(),
+                agentIp(i),
+                BACKEND_PORT,
+                shape.slots(),
+                agentIp(i),
+                METRICS_PORT));
+    relays.put(name, Relay.open(agentIp(i), AGENT_PORT, agentIp(i), AGENT_BIND_PORT));
+    backends.put(
+        name, StandInBackend.start(name, agentIp(i), BACKEND_PORT, home.resolve("starts.log")));
+    processes.put(name, process(name, home, Launch.agentFlags()));
+  }
+
+  private NodeProcess process(String name, Path home, List<String> flags) {
+    return NodeProcess.create(name, home, Launch.command(flags, "run", settingsFile(name)));
+  }
+
+  /** Returns the settings file of a process. */
+  public Path settingsFile(String name) {
+    return folder.resolve(name).resolve("settings.yaml");
+  }
+
+  /** Founds the cluster on the first server, starts everything, and waits until it is ready. */
+  public void start() throws IOException {
+    NodeProcess founding =
+        NodeProcess.create(
+            "found",
+            folder.resolve("server-1"),
+            Launch.command(List.of(), "found", settingsFile("server-1")));
+    founding.start();
+    if (founding.awaitEnd() != 0) {
+      throw new IOException("founding failed: " + founding.output());
+    }
+    for (NodeProcess process : processes.values()) {
+      process.start();
+    }
+    awaitReady();
+  }
+
+  /** Waits until every replica votes, every entry has a lease and every agent takes work. */
+  public void awaitReady() {
+    for (int i = 1; i <= shape.servers(); i++) {
+      String address = httpAddress(i);
+      await("server-" + i + " is ready", () -> status(address, "/health/ready") == 200);
+    }
+    await(
+        "every replica votes",
+        () ->
+            body(httpAddress(1), "/v1/reports/status").split("\"voter\":true").length - 1
+                >= shape.servers());
+    for (int i = 1; i <= shape.servers(); i++) {
+      String address = httpAddress(i);
+      await(
+          "every agent takes work from server-" + i,
+          () ->
+              body(address, "/metrics")
+                  .contains("hingehoist_usable_workers " + (double) shape.agents()));
+    }
+  }
+
+  /** Waits for a condition; fails with its name if it does not come to pass. */
+  public static void await(String what, BooleanSupplier condition) {
+    long giveUpAtNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > giveUpAtNanos) {
+        throw new IllegalStateException("it never came to pass that " + what);
+      }
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(20));
+    }
+  }
+
+  private int status(String address, String path) {
+    try {
+      return get(address, path).statusCode();
+    } catch (IOException e) {
+      return -1;
+    }
+  }
+
+  /** Returns the body of a page; empty if it can't be had. */
+  public String body(String address, String path) {
+    try {
+      return get(address, path).body();
+    } catch (IOException e) {
+      return "";
+    }
+  }
+
+  private HttpResponse<String> get(String address, String path) throws IOException {
+    try {
+      URI uri = URI.create("http://" + address + path);
+      return http.send(
+          HttpRequest.newBuilder(uri).timeout(HTTP_TIMEOUT).build(),
+          HttpResponse.BodyHandlers.ofString());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted", e);
+    }
+  }
+
+  /** Returns where a server takes callers. */
+  public String httpAddress(int server) {
+    return serverIp(server) + ":" + HTTP_PORT;
+  }
+
+  /** Returns where an agent serves its metrics. */
+  public String metricsAddress(int agent) {
+    return agentIp(agent) + ":" + METRICS_PORT;
+  }
+
+  /** Returns the IP number that a process's connections come from. */
+  public String ipOf(String name) {
+    int number = Integer.parseInt(name.substring(name.indexOf('-') + 1));
+    return name.startsWith("server") ? serverIp(number) : agentIp(number);
+  }
+
+  /** Returns a process by its name. */
+  public NodeProcess process(String name) {
+    return processes.get(name);
+  }
+
+  /** Returns every process, by name. */
+  public Map<String, NodeProcess> processes() {
+    return Map.copyOf(processes);
+  }
+
+  /** Returns the relay in front of a process. */
+  public Relay relay(String name) {
+    return relays.get(name);
+  }
+
+  /** Returns every relay. */
+  public List<Relay> relays() {
+    return List.copyOf(relays.values());
+  }
+
+  /** Returns the backend server beside an agent. */
+  public StandInBackend backend(String agentName) {
+    return backends.get(agentName);
+  }
+
+  /** Returns the shape. */
+  public ClusterShape shape() {
+    return shape;
+  }
+
+  /** Returns every start that the backend servers logged, as lines. */
+  public List<String> startLines() throws IOException {
+    List<String> lines = new ArrayList<>();
+    for (String agent : backends.keySet()) {
+      Path log = folder.resolve(agent).resolve("starts.log");
+      lines.addAll(Files.readAllLines(log));
+    }
+    return lines;
+  }
+
+  /** Ends everything at once. */
+  @Override
+  public void close() throws IOException {
+    for (NodeProcess process : processes.values()) {
+      if (process.isRunning()) {
+        process.kill();
+      }
+    }
+    for (Relay relay : relays.values()) {
+      relay.close();
+    }
+    for (StandInBackend backend : backends.values()) {
+      backend.close();
+    }
+  }
+}
--- /dev/null
+++ b/benchmark/src/main/java/io/hingehoist/cluster/NodeProcess.java
@@ -0,0 +1,128 @@
+package io.hingehoist.cluster;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** One process of a local cluster. Not thread-safe. */
+public final class NodeProcess {
+  private static final List<String> SERVER_FLAGS =
+      List.of("-Xmx512m", "-Xss512k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=4");
+
+  private final String name;
+  private final Path folder;
+  private final List<String> command;
+  private final Path output;
+  private Process process;
+
+  private NodeProcess(String name, Path folder, List<String> command) {
+    this.name = name;
+    this.folder = folder;
+    this.command = List.copyOf(command);
+    this.output = folder.resolve("output.log");
+  }
+
+  /** Creates a process of the daemon that is not started yet. */
+  static NodeProcess create(String name, Path folder, List<String> command) {
+    return new NodeProcess(name, folder, command);
+  }
+
+  /** Returns the flags that a server is started with on a small machine. */
+  static List<String> serverFlags() {
+    return SERVER_FLAGS;
+  }
+
+  /** Returns the name of the process. */
+  public String name() {
+    return name;
+  }
+
+  /** Starts the process, or starts it again after it has ended. */
+  public void start() throws IOException {
+    ProcessBuilder builder = new ProcessBuilder(command);
+    builder.redirectErrorStream(true);
+    builder.redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()));
+    process = builder.start();
+  }
+
+  /** Returns whether the process runs. */
+  public boolean isRunning() {
+    return process != null && process.isAlive();
+  }
+
+  /** Returns the number of the process. */
+  public long pid() {
+    return process.pid();
+  }
+
+  /** Kills the process at once, and waits until it is gone. */
+  public void kill() {
+    process.destroyForcibly();
+    awaitEnd();
+  }
+
+  /** Asks the process to stop. */
+  public void terminate() {
+    process.destroy();
+  }
+
+  /** Freezes the process. */
+  public void freeze() throws IOException {
+    signal("-STOP");
+  }
+
+  /** Lets a frozen process go on. */
+  public void thaw() throws IOException {
+    signal("-CONT");
+  }
+
+  private void signal(String signal) throws IOException {
+    Process kill = new ProcessBuilder("kill", signal, String.valueOf(process.pid())).start();
+    awaitExit(kill);
+  }
+
+  /** Waits until the process has ended and returns its exit code. */
+  public int awaitEnd() {
+    return awaitExit(process);
+  }
+
+  private static int awaitExit(Process process) {
+    try {
+      if (!process.waitFor(90, TimeUnit.SECONDS)) {
+        throw new IllegalStateException("process " + process.pid() + " does not end");
+      }
+      return process.exitValue();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException("interrupted", e);
+    }
+  }
+
+  /** Removes the data folder of an ended process, as a lost disk would. */
+  public void wipeData() throws IOException {
+    if (isRunning()) {
+      throw new IllegalStateException(name + " runs");
+    }
+    Path data = folder.resolve("data");
+    List<Path> files = new ArrayList<>();
+    try (var found = Files.walk(data)) {
+      found.forEach(files::add);
+    }
+    for (Path file : files.reversed()) {
+      Files.delete(file);
+    }
+  }
+
+  /** Returns the data folder. */
+  public Path dataFolder() {
+    return folder.resolve("data");
+  }
+
+  /** Returns what the process wrote. */
+  public String output() throws IOException {
+    return Files.exists(output) ? Files.readString(output) : "";
+  }
+}
--- /dev/null
+++ b/benchmark/src/main/java/io/hingehoist/standin/Relay.java
@@ -0,0 +1,178 @@
+package io.hingehoist.standin;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Arrays;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * A TCP relay in front of one address. It delays what passes, and cuts it by the IP number that a
+ * connection comes from: what is cut is held, as by a network that loses everything, and arrives
+ * late when the link heals.
+ */
+public final class Relay implements AutoCloseable {
+  /** A direction of travel through a relay. */
+  public enum Direction {
+    /** From the side that opened the connection. */
+    FORWARD,
+    /** Back to it. */
+    BACK
+  }
+
+  private record Piece(byte[] bytes, long dueNanos) {}
+
+  private record Cut(String sourceIp, Direction direction) {}
+
+  private static final String ANY = "*";
+  private static final long CUT_POLL_NANOS = 2_000_000;
+
+  private final ServerSocket listener;
+  private final InetSocketAddress target;
+  private final Set<Cut> cuts = ConcurrentHashMap.newKeySet();
+  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private volatile long delayNanos;
+  private volatile boolean closed;
+
+  private Relay(ServerSocket listener, InetSocketAddress target) {
+    this.listener = listener;
+    this.target = target;
+  }
+
+  /** Opens a relay. */
+  public static Relay open(String ip, int port, String targetIp, int targetPort)
+      throws IOException {
+    ServerSocket listener = new ServerSocket(port, 1_024, InetAddress.getByName(ip));
+    Relay relay = new Relay(listener, new InetSocketAddress(targetIp, targetPort));
+    Thread.ofVirtual().start(relay::accept);
+    return relay;
+  }
+
+  /** Delays everything by a time in each direction. */
+  public void setDelayNanos(long nanos) {
+    delayNanos = nanos;
+  }
+
+  /** Cuts one direction of the connections that come from an IP number. */
+  public void cut(String sourceIp, Direction direction) {
+    cuts.add(new Cut(sourceIp, direction));
+  }
+
+  /** Cuts both directions of all connections. */
+  public void cutAll() {
+    cuts.add(new Cut(ANY, Direction.FORWARD));
+    cuts.add(new Cut(ANY, Direction.BACK));
+  }
+
+  /** Lets everything pass again. */
+  public void heal() {
+    cuts.clear();
+  }
+
+  private boolean isCut(String sourceIp, Direction direction) {
+    return cuts.contains(new Cut(sourceIp, direction)) || cuts.contains(new Cut(ANY, direction));
+  }
+
+  private void accept() {
+    while (!closed) {
+      try {
+        Socket near = listener.accept();
+        Thread.ofVirtual().start(() -> connect(near));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void connect(Socket near) {
+    String source = near.getInetAddress().getHostAddress();
+    Socket far = new Socket();
+    sockets.add(near);
+    sockets.add(far);
+    try {
+      near.setTcpNoDelay(true);
+      far.setTcpNoDelay(true);
+      waitWhileCut(source, Direction.FORWARD);
+      far.connect(target);
+      carry(near, far, source, Direction.FORWARD);
+      carry(far, near, source, Direction.BACK);
+    } catch (IOException e) {
+      close(near, far);
+    }
+  }
+
+  private void carry(Socket from, Socket to, String source, Direction direction) {
+    LinkedBlockingQueue<Piece> queue = new LinkedBlockingQueue<>();
+    Thread.ofVirtual().start(() -> read(from, to, queue));
+    Thread.ofVirtual().start(() -> write(from, to, queue, source, direction));
+  }
+
+  private void read(Socket from, Socket to, LinkedBlockingQueue<Piece> queue) {
+    byte[] buffer = new byte[16 * 1024];
+    try {
+      InputStream in = from.getInputStream();
+      int count = in.read(buffer);
+      while (count >= 0) {
+        queue.add(new Piece(Arrays.copyOf(buffer, count), System.nanoTime() + delayNanos));
+        count = in.read(buffer);
+      }
+    } catch (IOException e) {
+      // The connection ended; the last piece says so.
+    }
+    queue.add(new Piece(new byte[0], System.nanoTime() + delayNanos));
+  }
+
+  private void write(
+      Socket from,
+      Socket to,
+      LinkedBlockingQueue<Piece> queue,
+      String source,
+      Direction direction) {
+    try {
+      OutputStream out = to.getOutputStream();
+      Piece piece = queue.take();
+      while (piece.bytes().length > 0) {
+        LockSupport.parkNanos(piece.dueNanos() - System.nanoTime());
+        waitWhileCut(source, direction);
+        out.write(piece.bytes());
+        piece = queue.take();
+      }
+    } catch (IOException e) {
+      // The far side ended.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    close(from, to);
+  }
+
+  private void waitWhileCut(String source, Direction direction) {
+    while (!closed && isCut(source, direction)) {
+      LockSupport.parkNanos(CUT_POLL_NANOS);
+    }
+  }
+
+  private void close(Socket... ended) {
+    for (Socket socket : ended) {
+      sockets.remove(socket);
+      try {
+        socket.close();
+      } catch (IOException e) {
+        // Nothing is left to do for a socket that can't be closed.
+      }
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    closed = true;
+    listener.close();
+    close(sockets.toArray(new Socket[0]));
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/io/hingehoist/cli/EntryClient.java
@@ -0,0 +1,84 @@
+package io.hingehoist.cli;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+
+/** Talks to entries over HTTP, and turns to the next one if one does not answer. */
+final class EntryClient {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration ANSWER_TIMEOUT = Duration.ofMinutes(11);
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  /** An entry's answer. */
+  record Reply(int status, JsonNode body) {
+    boolean isOk() {
+      return status / 100 == 2;
+    }
+  }
+
+  private final List<String> addresses;
+  private final HttpClient http = HttpClient.newBuilder().connectTimeout(CONNECT_TIMEOUT).build();
+
+  EntryClient(List<String> addresses) {
+    this.addresses = List.copyOf(addresses);
+  }
+
+  static ObjectNode newObject() {
+    return JSON.createObjectNode();
+  }
+
+  Reply get(String path) throws IOException {
+    return send(path, HttpRequest.newBuilder().GET());
+  }
+
+  Reply report(String report, String argument) throws IOException {
+    String encoded = URLEncoder.encode(argument, StandardCharsets.UTF_8);
+    return get("/v1/reports/" + report + "?argument=" + encoded);
+  }
+
+  Reply post(String path, JsonNode body) throws IOException {
+    HttpRequest.BodyPublisher publisher = HttpRequest.BodyPublishers.ofString(body.toString());
+    return send(
+        path, HttpRequest.newBuilder().header("Content-Type", "application/json").POST(publisher));
+  }
+
+  /** What is sent again is the same request under the same id, so sending it twice is safe. */
+  private Reply send(String path, HttpRequest.Builder request) throws IOException {
+    IOException last = new IOException("no entry is named");
+    for (String address : addresses) {
+      try {
+        URI uri = URI.create("http://" + address + path);
+        HttpResponse<String> response =
+            http.send(
+                request.uri(uri).timeout(ANSWER_TIMEOUT).build(),
+                HttpResponse.BodyHandlers.ofString());
+        return new Reply(response.statusCode(), parse(response.body()));
+      } catch (IOException e) {
+        last = new IOException(address + ": " + e, e);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw new IOException("interrupted", e);
+      }
+    }
+    throw last;
+  }
+
+  private static JsonNode parse(String body) throws IOException {
+    try {
+      return JSON.readTree(body);
+    } catch (JsonProcessingException e) {
+      throw new IOException("the answer is not JSON: " + body, e);
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/io/hingehoist/cli/ExitCode.java
@@ -0,0 +1,22 @@
+package io.hingehoist.cli;
+
+/** The exit codes of {@code hingehoist}. */
+enum ExitCode {
+  OK(0),
+  /** The answer is "refused" or "failed". */
+  REFUSED(1),
+  /** The command line is wrong. */
+  USAGE(64),
+  /** No entry answers, or the outcome is unknown: do it again under the same id. */
+  UNAVAILABLE(69);
+
+  private final int code;
+
+  ExitCode(int code) {
+    this.code = code;
+  }
+
+  int code() {
+    return code;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/io/hingehoist/cli/JobActions.java
@@ -0,0 +1,127 @@
+package io.hingehoist.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.UUID;
+
+/** The commands under {@code hingehoist job}. */
+final class JobActions {
+  private static final int PROGRESS_WAIT_MS = 1_000;
+  private static final int RUNNING = 202;
+
+  private JobActions() {}
+
+  /** Follows a job to its end and shows how far it is. */
+  private static ExitCode follow(
+      EntryClient client, Output output, String caller, String submissionId) throws IOException {
+    String path = "/v1/jobs/" + caller + "/" + submissionId + "?waitMs=" + PROGRESS_WAIT_MS;
+    EntryClient.Reply reply = client.get(path);
+    while (reply.status() == RUNNING) {
+      JsonNode body = reply.body();
+      output.progress(
+          "running: %s of %d tasks finished"
+              .formatted(
+                  body.has("finishedTasks") ? body.get("finishedTasks").asText() : "?",
+                  body.path("taskCount").asInt()));
+      reply = client.get(path);
+    }
+    return write(reply, output);
+  }
+
+  private static ExitCode write(EntryClient.Reply reply, Output output) {
+    JsonNode body = reply.body();
+    StringBuilder text = new StringBuilder();
+    text.append(body.path("outcome").asText()).append(System.lineSeparator());
+    for (String field : List.of("cause", "reason", "retryAfterMs", "finishedTasks", "taskCount")) {
+      if (body.has(field)) {
+        text.append("%s: %s%n".formatted(field, body.get(field).asText()));
+      }
+    }
+    for (JsonNode result : body.path("results")) {
+      text.append(result.asText()).append(System.lineSeparator());
+    }
+    output.write(body, text);
+    return Output.codeOf(reply);
+  }
+
+  @Parameters(commandDescription = "Submits a job, one task a line of a file, and follows it")
+  static final class Submit implements Action {
+    @Parameter(names = "--service", required = true, description = "Service that runs the tasks")
+    private String service;
+
+    @Parameter(names = "--class", description = "Job class")
+    private String jobClass = "default";
+
+    @Parameter(names = "--team", description = "Team whose share is used")
+    private String team = "default";
+
+    @Parameter(names = "--caller", description = "Who submits")
+    private String caller = System.getProperty("user.name");
+
+    @Parameter(
+        names = "--id",
+        description = "Id of the submission; resubmit under the same id. Random if missing")
+    private String submissionId = UUID.randomUUID().toString();
+
+    @Parameter(
+        names = "--submitted-at-ms",
+        description = "When it was first submitted; the same in a resubmission. Now if missing")
+    private long submittedAtMs = System.currentTimeMillis();
+
+    @Parameter(names = "--deadline-ms", description = "Time from now after which it is given up")
+    private Long deadlineMs;
+
+    @Parameter(names = "--tasks", required = true, description = "File with one payload a line")
+    private String tasks;
+
+    @Override
+    public ExitCode run(EntryClient client, Output output) throws IOException {
+      ObjectNode body = EntryClient.newObject();
+      body.put("caller", caller);
+      body.put("submissionId", submissionId);
+      body.put("submittedAtMs", submittedAtMs);
+      body.put("service", service);
+      body.put("jobClass", jobClass);
+      body.put("team", team);
+      if (deadlineMs != null) {
+        body.put("deadlineAtMs", System.currentTimeMillis() + deadlineMs);
+      }
+      ArrayNode list = body.putArray("tasks");
+      for (String line : Files.readAllLines(Path.of(tasks))) {
+        list.addObject().put("payload", line);
+      }
+      output.progress(
+          "submission %s of %s, submitted at %d".formatted(submissionId, caller, submittedAtMs));
+      EntryClient.Reply reply = client.post("/v1/jobs?wait=false", body);
+      return reply.status() == RUNNING
+          ? follow(client, output, caller, submissionId)
+          : write(reply, output);
+    }
+  }
+
+  @Parameters(commandDescription = "Shows what is known of a submission")
+  static final class Status implements Action {
+    @Parameter(names = "--caller", description = "Who submitted")
+    private String caller = System.getProperty("user.name");
+
+    @Parameter(names = "--id", required = true, description = "Id of the submission")
+    private String submissionId;
+
+    @Parameter(names = "--follow", description = "Wait for the end and show progress")
+    private boolean follow;
+
+    @Override
+    public ExitCode run(EntryClient client, Output output) throws IOException {
+      return follow
+          ? follow(client, output, caller, submissionId)
+          : write(client.get("/v1/jobs/" + caller + "/" + submissionId), output);
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/io/hingehoist/cli/Output.java
@@ -0,0 +1,55 @@
+package io.hingehoist.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.PrintStream;
+
+/** Writes answers: JSON for scripts, text for people. */
+final class Output {
+  private final PrintStream out;
+  private final boolean json;
+
+  Output(PrintStream out, boolean json) {
+    this.out = out;
+    this.json = json;
+  }
+
+  /** Writes an answer as JSON, or else as the text for people. */
+  void write(JsonNode body, Object text) {
+    if (json) {
+      out.println(body);
+    } else {
+      out.print(text);
+      out.flush();
+    }
+  }
+
+  /** Writes a line about progress, for people only. */
+  void progress(String line) {
+    if (!json) {
+      out.println(line);
+    }
+  }
+
+  /** Writes the answer to a change, and returns what it means for the exit code. */
+  ExitCode writeChange(EntryClient.Reply reply) {
+    JsonNode body = reply.body();
+    StringBuilder text =
+        new StringBuilder(body.path("result").asText(body.path("outcome").asText()));
+    if (body.has("revision")) {
+      text.append(" revision ").append(body.get("revision").asLong());
+    }
+    if (body.has("reason")) {
+      text.append(": ").append(body.get("reason").asText());
+    }
+    write(body, text.append(System.lineSeparator()));
+    return codeOf(reply);
+  }
+
+  /** Returns what a reply means for the exit code. */
+  static ExitCode codeOf(EntryClient.Reply reply) {
+    if (reply.isOk()) {
+      return reply.body().has("error") ? ExitCode.REFUSED : ExitCode.OK;
+    }
+    return reply.status() == 504 ? ExitCode.UNAVAILABLE : ExitCode.REFUSED;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/io/hingehoist/cli/ReportActions.java
@@ -0,0 +1,58 @@
+package io.hingehoist.cli;
+
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.time.Instant;
+
+/** The commands that show reports. */
+final class ReportActions {
+  private ReportActions() {}
+
+  static ExitCode writeAudit(EntryClient.Reply reply, Output output) {
+    for (JsonNode row : reply.body().path("rows")) {
+      ((ObjectNode) row).put("at", Instant.ofEpochMilli(row.path("atMs").asLong()).toString());
+    }
+    output.write(
+        reply.body(),
+        Table.of(
+            reply.body().path("rows"),
+            "at",
+            "actor",
+            "action",
+            "subject",
+            "before",
+            "after",
+            "accepted",
+            "revision",
+            "reason"));
+    return Output.codeOf(reply);
+  }
+
+  @Parameters(commandDescription = "Shows the audit trail of settings and members")
+  static final class Audit implements Action {
+    @Override
+    public ExitCode run(EntryClient client, Output output) throws IOException {
+      return writeAudit(client.report("audit", ""), output);
+    }
+  }
+
+  @Parameters(commandDescription = "Shows the state of the control replicas")
+  static final class Status implements Action {
+    @Override
+    public ExitCode run(EntryClient client, Output output) throws IOException {
+      EntryClient.Reply reply = client.report("status", "");
+      JsonNode body = reply.body();
+      StringBuilder text = new StringBuilder();
+      body.properties().stream()
+          .filter(field -> !field.getKey().equals("replicas"))
+          .forEach(
+              field ->
+                  text.append("%-18s %s%n".formatted(field.getKey(), field.getValue().asText())));
+      text.append(Table.of(body.path("replicas"), "replicaId", "address", "voter"));
+      output.write(body, text);
+      return Output.codeOf(reply);
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/io/hingehoist/cli/SettingsActions.java
@@ -0,0 +1,119 @@
+package io.hingehoist.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.UUID;
+
+/** The commands under {@code hingehoist settings}. */
+final class SettingsActions {
+  private SettingsActions() {}
+
+  /** Parameters of a change. */
+  private abstract static class Change {
+    @Parameter(names = "--path", required = true, description = "Node, such as /porting or /")
+    private String path;
+
+    @Parameter(names = "--key", required = true, description = "Name of the value")
+    private String key;
+
+    @Parameter(
+        names = "--base",
+        description = "Revision that the change is based on; the current one if missing")
+    private Long baseRevision;
+
+    @Parameter(
+        names = "--change-id",
+        description = "Id of the change; resend a change under the same id. Random if missing")
+    private String changeId = UUID.randomUUID().toString();
+
+    @Parameter(names = "--operator", description = "Who makes the change")
+    private String operator = System.getProperty("user.name");
+
+    ExitCode change(EntryClient client, Output output, String value) throws IOException {
+      ObjectNode body = EntryClient.newObject();
+      body.put("changeId", changeId);
+      body.put("baseRevision", baseRevision == null ? currentRevision(client) : baseRevision);
+      body.put("path", path);
+      body.put("key", key);
+      body.put("operator", operator);
+      if (value != null) {
+        body.put("value", value);
+      }
+      return output.writeChange(client.post("/v1/settings", body));
+    }
+
+    private static long currentRevision(EntryClient client) throws IOException {
+      return client.report("tree", "").body().path("revision").asLong();
+    }
+  }
+
+  @Parameters(commandDescription = "Shows the values in force at a node, and where they come from")
+  static final class Get implements Action {
+    @Parameter(names = "--path", description = "Node, such as /porting/activation/zone-1")
+    private String path = "/";
+
+    @Override
+    public ExitCode run(EntryClient client, Output output) throws IOException {
+      EntryClient.Reply reply = client.report("settings", path);
+      JsonNode body = reply.body();
+      String text =
+          body.has("error")
+              ? body.get("error").asText() + System.lineSeparator()
+              : "revision %d%n%s"
+                  .formatted(
+                      body.path("revision").asLong(),
+                      Table.of(body.path("values"), "key", "value", "source"));
+      output.write(body, text);
+      return Output.codeOf(reply);
+    }
+  }
+
+  @Parameters(commandDescription = "Overrides a value at a node")
+  static final class Set extends Change implements Action {
+    @Parameter(names = "--value", required = true, description = "The new value")
+    private String value;
+
+    @Override
+    public ExitCode run(EntryClient client, Output output) throws IOException {
+      return change(client, output, value);
+    }
+  }
+
+  @Parameters(commandDescription = "Makes a node inherit a value again")
+  static final class Unset extends Change implements Action {
+    @Override
+    public ExitCode run(EntryClient client, Output output) throws IOException {
+      return change(client, output, null);
+    }
+  }
+
+  @Parameters(commandDescription = "Shows every overridden value")
+  static final class Tree implements Action {
+    @Override
+    public ExitCode run(EntryClient client, Output output) throws IOException {
+      EntryClient.Reply reply = client.report("tree", "");
+      JsonNode body = reply.body();
+      output.write(
+          body,
+          "revision %d%n%s"
+              .formatted(
+                  body.path("revision").asLong(),
+                  Table.of(body.path("overrides"), "path", "key", "value")));
+      return Output.codeOf(reply);
+    }
+  }
+
+  @Parameters(commandDescription = "Shows the changes of settings, accepted and refused")
+  static final class History implements Action {
+    @Parameter(names = "--path", description = "Only this node")
+    private String path = "";
+
+    @Override
+    public ExitCode run(EntryClient client, Output output) throws IOException {
+      return ReportActions.writeAudit(client.report("history", path), output);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/control/AuditTrail.java
@@ -0,0 +1,59 @@
+package io.hingehoist.control;
+
+import io.hingehoist.state.AuditRow;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+
+/** The latest changes of settings and members, oldest first. Owned by {@link ControlState}. */
+final class AuditTrail {
+  private static final int MAX_ROWS = 10_000;
+
+  private final Deque<AuditRow> rows = new ArrayDeque<>();
+  private long sequence;
+
+  void restore(AuditRow row) {
+    rows.add(row);
+    sequence = Math.max(sequence, row.sequence());
+  }
+
+  /** Adds a change of a member. */
+  void addMemberChange(
+      long atMs, String actor, String action, String member, String before, String after) {
+    add(new AuditRow(++sequence, atMs, actor, action, member, "", 0, before, after, true, ""));
+  }
+
+  /** Adds a change of settings, accepted or refused. */
+  void addSettingsChange(
+      long atMs,
+      io.hingehoist.command.ChangeSettings change,
+      long revision,
+      String before,
+      boolean accepted,
+      String reason) {
+    add(
+        new AuditRow(
+            ++sequence,
+            atMs,
+            change.operator(),
+            "settings",
+            change.path() + " " + change.key(),
+            change.changeId(),
+            revision,
+            before,
+            change.value().orElse("(inherit)"),
+            accepted,
+            reason));
+  }
+
+  private void add(AuditRow row) {
+    rows.add(row);
+    if (rows.size() > MAX_ROWS) {
+      rows.removeFirst();
+    }
+  }
+
+  List<AuditRow> rows() {
+    return List.copyOf(rows);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/dispatch/Dispatcher.java
@@ -0,0 +1,502 @@
+package io.hingehoist.dispatch;
+
+import io.hingehoist.message.AgentInfo;
+import io.hingehoist.message.AgentStatus;
+import io.hingehoist.message.CreditGrant;
+import io.hingehoist.message.CreditRecall;
+import io.hingehoist.message.CreditReturn;
+import io.hingehoist.message.FenceReport;
+import io.hingehoist.message.Message;
+import io.hingehoist.message.NotStartedReason;
+import io.hingehoist.message.RunRefused;
+import io.hingehoist.message.RunResponse;
+import io.hingehoist.message.TaskFinished;
+import io.hingehoist.message.TaskNotStarted;
+import io.hingehoist.message.TaskRunning;
+import io.hingehoist.placement.SlowWorkers;
+import io.hingehoist.placement.Worker;
+import io.hingehoist.settings.ServicePolicy;
+import io.hingehoist.settings.SettingsPath;
+import io.hingehoist.settings.SettingsTree;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * Everything that an entry decides about work: which worker gets it, when to hold it back, and when
+ * to give it up.
+ *
+ * <p>Each method takes one event in and returns the effects to carry out, in order. Times are
+ * milliseconds of a clock that never goes back. Not thread-safe: the dispatch thread owns it.
+ */
+public final class Dispatcher {
+  private static final long RETIRE_PERIOD_MS = 500;
+  private static final long EJECTION_PERIOD_MS = 100;
+  private static final long MIN_RETRY_AFTER_MS = 100;
+
+  /** How long a worker is left alone whose backend server took no connection. */
+  private static final long UNREACHABLE_PAUSE_MS = 500;
+
+  private record Deadline(long atMs, boolean isJob, long id) {}
+
+  private final String zone;
+  private final RandomGenerator random;
+  private final List<DispatchEffect> effects = new ArrayList<>();
+  private final JobDispatch jobs = new JobDispatch(this, effects::add);
+  private final RequestDispatch requests = new RequestDispatch(this, effects::add);
+  private final Map<String, ServicePool> pools = new HashMap<>();
+  private final Map<String, Worker<Work>> workers = new HashMap<>();
+  private final Map<SettingsPath, ServicePolicy> policies = new HashMap<>();
+  private final PriorityQueue<Deadline> deadlines =
+      new PriorityQueue<>(Comparator.comparingLong(Deadline::atMs));
+  private SettingsTree settings = SettingsTree.empty();
+  private long leaseUntilMs = Long.MIN_VALUE;
+  private long sequence;
+  private long retiredAtMs;
+  private long ejectedAtMs;
+  private long latestMs;
+
+  private Dispatcher(String zone, RandomGenerator random) {
+    this.zone = zone;
+    this.random = random;
+  }
+
+  /** Creates a dispatcher without workers, settings or lease. */
+  public static Dispatcher create(String zone, RandomGenerator random) {
+    return new Dispatcher(zone, random);
+  }
+
+  // Events.
+
+  /** Takes the settings in force. */
+  public List<DispatchEffect> onSettings(SettingsTree tree) {
+    settings = tree;
+    policies.clear();
+    for (Worker<Work> worker : workers.values()) {
+      if (worker.isReachable()) {
+        subscribe(worker);
+      }
+    }
+    return takeEffects();
+  }
+
+  /** Takes a lease: until then work may start; jobs admitted before the floor are forgotten. */
+  public List<DispatchEffect> onLease(long untilMs, long floorMs, long nowMs) {
+    leaseUntilMs = Math.max(leaseUntilMs, untilMs);
+    jobs.forgetBefore(floorMs);
+    return pump(nowMs);
+  }
+
+  /** Takes the registered agents. What an ended incarnation may have started is given up. */
+  public List<DispatchEffect> onMembers(List<AgentInfo> agents, long nowMs) {
+    Set<String> present = new HashSet<>();
+    for (AgentInfo info : agents) {
+      present.add(info.agentId());
+      Worker<Work> worker = workers.get(info.agentId());
+      if (worker == null) {
+        addWorker(info);
+      } else {
+        updateWorker(worker, info);
+      }
+    }
+    for (String agentId : Set.copyOf(workers.keySet())) {
+      if (!present.contains(agentId)) {
+        removeWorker(workers.get(agentId));
+      }
+    }
+    return pump(nowMs);
+  }
+
+  private void addWorker(AgentInfo info) {
+    Worker<Work> worker = Worker.create(info);
+    workers.put(info.agentId(), worker);
+    pool(info.service()).workers().put(info.agentId(), worker);
+  }
+
+  private void updateWorker(Worker<Work> worker, AgentInfo info) {
+    boolean newIncarnation = worker.info().incarnation() != info.incarnation();
+    boolean movedService = !worker.info().service().equals(info.service());
+    if (newIncarnation) {
+      endIncarnation(worker);
+    }
+    if (movedService) {
+      pool(worker.info().service()).workers().remove(info.agentId());
+      pool(info.service()).workers().put(info.agentId(), worker);
+    }
+    worker.update(info);
+    if (newIncarnation && worker.isReachable()) {
+      subscribe(worker);
+    }
+  }
+
+  private void removeWorker(Worker<Work> worker) {
+    endIncarnation(worker);
+    workers.remove(worker.agentId());
+    pool(worker.info().service()).workers().remove(worker.agentId());
+  }
+
+  private void endIncarnation(Worker<Work> worker) {
+    List<Work> lost = worker.inFlight();
+    lost.forEach(work -> noteEnded(worker.agentId(), work));
+    jobs.onAgentEnded(worker.agentId(), lost);
+    requests.onAgentLost(worker.agentId(), lost);
+  }
+
+  /** Takes an agent's status: the first message on a connection, or news on an open one. */
+  public List<DispatchEffect> onAgentStatus(AgentStatus status, boolean opens, long nowMs) {
+    Worker<Work> worker = workers.get(status.agentId());
+    if (worker == null) {
+      return List.of();
+    }
+    worker.connected(status.incarnation(), status.draining(), status.freeSlots(), nowMs);
+    if (worker.isReachable()) {
+      subscribe(worker);
+      if (opens) {
+        jobs.onReconnected(worker);
+      }
+    }
+    return pump(nowMs);
+  }
+
+  /** Notes a lost connection. Tasks stay granted; repeatable requests are tried elsewhere. */
+  public List<DispatchEffect> onAgentDisconnected(String agentId, long nowMs) {
+    Worker<Work> worker = workers.get(agentId);
+    if (worker == null) {
+      return List.of();
+    }
+    worker.disconnected();
+    List<Work> lost = worker.inFlight();
+    for (Work work : lost) {
+      if (work instanceof RequestWork) {
+        noteEnded(agentId, work);
+      }
+    }
+    requests.onAgentLost(agentId, lost);
+    return pump(nowMs);
+  }
+
+  /** Takes a message from an agent. */
+  public List<DispatchEffect> onAgentMessage(String agentId, Message message, long nowMs) {
+    Worker<Work> worker = workers.get(agentId);
+    if (worker == null) {
+      return List.of();
+    }
+    latestMs = nowMs;
+    switch (message) {
+      case AgentStatus status -> effects.addAll(onAgentStatus(status, false, nowMs));
+      case TaskFinished finished -> {
+        noteAnswer(worker, finished.freeSlots(), finished.credits(), nowMs);
+        jobs.onFinished(agentId, finished);
+      }
+      case TaskNotStarted notStarted -> {
+        noteAnswer(worker, notStarted.freeSlots(), notStarted.credits(), nowMs);
+        noteReason(worker, notStarted.reason(), nowMs);
+        jobs.onNotStarted(agentId, notStarted);
+      }
+      case TaskRunning running -> {}
+      case FenceReport report -> jobs.onFenceReport(worker, report);
+      case RunResponse response -> {
+        noteAnswer(worker, response.freeSlots(), response.credits(), nowMs);
+        requests.onResponse(agentId, response);
+      }
+      case RunRefused refused -> {
+        noteAnswer(worker, refused.freeSlots(), refused.credits(), nowMs);
+        noteReason(worker, refused.reason(), nowMs);
+        requests.onRefused(agentId, refused);
+      }
+      case CreditGrant grant -> worker.addCredits(grant.credits());
+      case CreditRecall recall -> returnCredits(worker, recall.credits());
+      default -> throw new IllegalArgumentException("not a message from an agent: " + message);
+    }
+    return pump(nowMs);
+  }
+
+  private static void noteAnswer(Worker<Work> worker, int freeSlots, int credits, long nowMs) {
+    worker.noteFreeSlots(freeSlots, nowMs);
+    worker.addCredits(credits);
+  }
+
+  private static void noteReason(Worker<Work> worker, NotStartedReason reason, long nowMs) {
+    switch (reason) {
+      case DRAINING, NO_LEASE, WRONG_INCARNATION -> worker.noteRefusal();
+      case BACKEND_UNREACHABLE -> worker.eject(nowMs + UNREACHABLE_PAUSE_MS);
+      case SLOTS_FULL, STALE_EPOCH, REVOKED, RETIRED -> {}
+    }
+  }
+
+  private void returnCredits(Worker<Work> worker, int asked) {
+    int returned = worker.removeCredits(asked);
+    effects.add(new DispatchEffect.Send(worker.agentId(), new CreditReturn(returned)));
+  }
+
+  /** Takes a job that this entry admitted. */
+  public List<DispatchEffect> onAdmitted(JobSpec spec, long nowMs) {
+    addDeadline(new Deadline(spec.deadlineMs(), true, spec.jobId()));
+    jobs.admit(spec, takeSequences(spec));
+    return pump(nowMs);
+  }
+
+  /** Takes over a job from an entry that has ended. */
+  public List<DispatchEffect> onAdopted(JobSpec spec, List<String> lostAgents, long nowMs) {
+    addDeadline(new Deadline(spec.deadlineMs(), true, spec.jobId()));
+    jobs.adopt(spec, takeSequences(spec), lostAgents);
+    return pump(nowMs);
+  }
+
+  private long takeSequences(JobSpec spec) {
+    long first = sequence;
+    sequence += spec.payloads().size();
+    return first;
+  }
+
+  private void addDeadline(Deadline deadline) {
+    deadlines.add(deadline);
+  }
+
+  /** Takes a repeatable request, after {@link #refusalOf} let it pass. */
+  public List<DispatchEffect> onRequest(RequestSpec spec, long nowMs) {
+    addDeadline(new Deadline(spec.deadlineMs(), false, spec.requestId()));
+    requests.accept(spec, sequence++);
+    return pump(nowMs);
+  }
+
+  /** Notes that a job's outcome is committed. */
+  public List<DispatchEffect> onOutcomeCommitted(long jobId) {
+    jobs.onCommitted(jobId);
+    return takeEffects();
+  }
+
+  /** Notes that another entry owns a job now. */
+  public List<DispatchEffect> onOutcomeStale(long jobId) {
+    jobs.onStale(jobId);
+    return takeEffects();
+  }
+
+  /** Leaves every job to others, because this entry's incarnation has ended. */
+  public List<DispatchEffect> onIncarnationEnded() {
+    leaseUntilMs = Long.MIN_VALUE;
+    jobs.abandonAll();
+    return takeEffects();
+  }
+
+  /** Gives up what is past its deadline and does what is due. */
+  public List<DispatchEffect> onTick(long nowMs) {
+    while (!deadlines.isEmpty() && deadlines.peek().atMs() <= nowMs) {
+      Deadline due = deadlines.remove();
+      if (due.isJob()) {
+        jobs.onDeadline(due.id());
+      } else {
+        requests.onDeadline(due.id());
+      }
+    }
+    requests.onTick(nowMs);
+    if (nowMs - retiredAtMs >= RETIRE_PERIOD_MS) {
+      retiredAtMs = nowMs;
+      jobs.flushRetired();
+    }
+    if (nowMs - ejectedAtMs >= EJECTION_PERIOD_MS) {
+      ejectedAtMs = nowMs;
+      ejectSlowWorkers(nowMs);
+    }
+    return pump(nowMs);
+  }
+
+  private void ejectSlowWorkers(long nowMs) {
+    pools.forEach(
+        (service, pool) -> {
+          ServicePolicy policy = policyAt(servicePath(service));
+          SlowWorkers.eject(
+              pool.workers().values(), policy.ejectionFactor(), policy.ejectionMaxPercent(), nowMs);
+        });
+  }
+
+  // Admission.
+
+  /**
+   * Returns why work can't be taken now; empty where it can.
+   *
+   * @param tasks the number of tasks
+   * @param deadlineMs when the work is given up
+   */
+  public Optional<RequestOutcome.Refused> refusalOf(
+      String service, String jobClass, int tasks, long deadlineMs, long nowMs) {
+    if (nowMs >= leaseUntilMs) {
+      return refused(RefusalCause.NO_LEASE, "this entry has no fresh lease", 1_000);
+    }
+    ServicePolicy policy = policyAt(SettingsPath.of(service, jobClass, zone));
+    if (!policy.enabled()) {
+      return refused(RefusalCause.DISABLED, "settings have this work disabled", 30_000);
+    }
+    ServicePool pool = pool(service);
+    if (!pool.hasWorkers(nowMs)) {
+      return refused(RefusalCause.NO_WORKERS, "no worker of " + service + " takes work", 1_000);
+    }
+    if (pool.waitingTasks() + tasks > policy.queueTasks() + pool.workers().size()) {
+      return refused(RefusalCause.QUEUE_FULL, "too much work waits", retryAfterMs(service));
+    }
+    double neededMs = pool.estimatedTimeMs(tasks, nowMs);
+    if (nowMs + neededMs > deadlineMs) {
+      return refused(
+          RefusalCause.DEADLINE,
+          "about %.0f ms are needed and %d ms are left".formatted(neededMs, deadlineMs - nowMs),
+          Math.max(MIN_RETRY_AFTER_MS, (long) (nowMs + neededMs - deadlineMs)));
+    }
+    return Optional.empty();
+  }
+
+  private static Optional<RequestOutcome.Refused> refused(
+      RefusalCause cause, String reason, long retryAfterMs) {
+    return Optional.of(new RequestOutcome.Refused(cause, reason, retryAfterMs));
+  }
+
+  /** Counts the tasks of a submission as waiting while its admission is committed. */
+  public void reserve(String service, int tasks) {
+    pool(service).reserve(tasks);
+  }
+
+  /** Ends a {@link #reserve}. */
+  public void release(String service, int tasks) {
+    pool(service).release(tasks);
+  }
+
+  long retryAfterMs(String service) {
+    return Math.max(MIN_RETRY_AFTER_MS, (long) pool(service).estimatedTimeMs(0, 0));
+  }
+
+  // Shared with jobs and requests.
+
+  ServicePool pool(String service) {
+    return pools.computeIfAbsent(service, name -> new ServicePool(random));
+  }
+
+  void enqueue(Work work) {
+    ServicePolicy policy = policyOf(work);
+    pool(work.service()).queue().add(work, policy.teamWeight(), policy.teamSlots());
+  }
+
+  void noteEnded(String agentId, Work work) {
+    Worker<Work> worker = workers.get(agentId);
+    if (worker != null && worker.ended(work)) {
+      pool(work.service()).queue().noteEnded(work.team());
+    }
+  }
+
+  /** Frees the slot of a request that ended before this answer, such as a lost hedge. */
+  void noteRequestEnded(String agentId, long requestId) {
+    Worker<Work> worker = workers.get(agentId);
+    if (worker == null) {
+      return;
+    }
+    for (Work work : worker.inFlight()) {
+      if (work instanceof RequestWork request && request.spec().requestId() == requestId) {
+        noteEnded(agentId, work);
+      }
+    }
+  }
+
+  void noteAdopted(Worker<Work> worker, TaskWork task) {
+    worker.adopt(task, latestMs);
+    pool(task.service()).queue().noteAdopted(task.team());
+  }
+
+  void noteServiceTime(String agentId, Work work, long micros) {
+    Worker<Work> worker = workers.get(agentId);
+    if (worker != null) {
+      pool(work.service()).noteServiceTime(worker, micros);
+    }
+  }
+
+  ServicePolicy policyOf(Work work) {
+    return policyAt(SettingsPath.of(work.service(), work.jobClass(), zone));
+  }
+
+  private ServicePolicy policyAt(SettingsPath path) {
+    return policies.computeIfAbsent(path, settings::policyAt);
+  }
+
+  private static SettingsPath servicePath(String service) {
+    return new SettingsPath(List.of(service));
+  }
+
+  private boolean placesByCredit(String service) {
+    return policyAt(servicePath(service)).placement().equals("slotCredits");
+  }
+
+  private void subscribe(Worker<Work> worker) {
+    String service = worker.info().service();
+    pool(service).subscribe(worker, placesByCredit(service), effects::add);
+  }
+
+  private List<DispatchEffect> pump(long nowMs) {
+    if (nowMs < leaseUntilMs) {
+      pools.forEach(
+          (service, pool) -> {
+            pool.pump(this::policyOf, (work, worker) -> start(work, worker, nowMs), nowMs);
+            pool.tellDemand(placesByCredit(service), effects::add, nowMs);
+          });
+    }
+    return takeEffects();
+  }
+
+  private void start(Work work, Worker<Work> worker, long nowMs) {
+    switch (work) {
+      case TaskWork task -> jobs.start(task, worker);
+      case RequestWork request -> requests.start(request, worker, nowMs);
+    }
+  }
+
+  private List<DispatchEffect> takeEffects() {
+    List<DispatchEffect> taken = List.copyOf(effects);
+    effects.clear();
+    return taken;
+  }
+
+  // What others may see.
+
+  /** Returns whether a lease is fresh. */
+  public boolean hasLease(long nowMs) {
+    return nowMs < leaseUntilMs;
+  }
+
+  /** Returns the jobs that this entry owns. */
+  public List<Long> ownedJobIds() {
+    return jobs.ownedJobIds();
+  }
+
+  /** Returns the number of finished tasks of a job that this entry owns; empty for others. */
+  public Optional<Integer> finishedTasks(long jobId) {
+    return jobs.find(jobId).map(JobRun::finishedCount);
+  }
+
+  /** Returns whether nothing that this entry took is without its end. */
+  public boolean isSettled() {
+    return jobs.isSettled() && requests.openCount() == 0;
+  }
+
+  /** Returns the number of jobs and requests without an end. */
+  public int openCount() {
+    return jobs.openCount() + requests.openCount();
+  }
+
+  /** Returns the number of tasks and requests that wait for a worker. */
+  public int waitingCount() {
+    return pools.values().stream().mapToInt(pool -> pool.queue().size()).sum();
+  }
+
+  /** Returns the number of tasks and requests in flight. */
+  public int inFlightCount() {
+    return pools.values().stream().mapToInt(ServicePool::inFlightCount).sum();
+  }
+
+  /** Returns the number of workers that take work from this entry. */
+  public int usableWorkers(long nowMs) {
+    return (int) workers.values().stream().filter(worker -> worker.takesWork(nowMs)).count();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/placement/PlacementPolicies.java
@@ -0,0 +1,40 @@
+package io.hingehoist.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/** Static helpers of {@link PlacementPolicy}. */
+final class PlacementPolicies {
+  private PlacementPolicies() {}
+
+  static <W> Optional<Worker<W>> lessLoadedOfTwo(
+      List<Worker<W>> candidates, RandomGenerator random, long nowMs) {
+    List<Worker<W>> free = new ArrayList<>(candidates.size());
+    for (Worker<W> candidate : candidates) {
+      if (candidate.estimatedFreeSlots(nowMs) > 0) {
+        free.add(candidate);
+      }
+    }
+    if (free.isEmpty()) {
+      return Optional.empty();
+    }
+    Worker<W> first = free.get(random.nextInt(free.size()));
+    Worker<W> second = free.get(random.nextInt(free.size()));
+    return Optional.of(second.load(nowMs) < first.load(nowMs) ? second : first);
+  }
+
+  /** Starts at a random place, so that entries with equal credits do not march in step. */
+  static <W> Optional<Worker<W>> mostCredits(List<Worker<W>> candidates, RandomGenerator random) {
+    int start = random.nextInt(candidates.size());
+    Worker<W> best = candidates.get(start);
+    for (int i = 1; i < candidates.size(); i++) {
+      Worker<W> candidate = candidates.get((start + i) % candidates.size());
+      if (candidate.credits() > best.credits()) {
+        best = candidate;
+      }
+    }
+    return best.credits() > 0 ? Optional.of(best) : Optional.empty();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/replication/LogSnapshot.java
@@ -0,0 +1,21 @@
+package io.hingehoist.replication;
+
+import io.hingehoist.message.Bytes;
+import io.hingehoist.message.ReplicaSet;
+import java.util.List;
+
+/**
+ * The applied state up to a log index, which stands for the log before it.
+ *
+ * @param lastIndex the index of the last entry that the state includes
+ * @param lastTerm the term of that entry
+ * @param voters the voters as of that entry
+ * @param state the applied state
+ */
+public record LogSnapshot(long lastIndex, long lastTerm, ReplicaSet voters, Bytes state) {
+
+  /** Returns the snapshot of a log that holds nothing. */
+  public static LogSnapshot empty() {
+    return new LogSnapshot(0, 0, new ReplicaSet(List.of()), Bytes.empty());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/client/ControlClient.java
@@ -0,0 +1,298 @@
+package io.hingehoist.client;
+
+import io.hingehoist.command.Command;
+import io.hingehoist.command.CommandResult;
+import io.hingehoist.command.Query;
+import io.hingehoist.command.QueryAnswer;
+import io.hingehoist.message.Bytes;
+import io.hingehoist.message.HeartbeatRequest;
+import io.hingehoist.message.HeartbeatResponse;
+import io.hingehoist.message.Hello;
+import io.hingehoist.message.Message;
+import io.hingehoist.message.ProposeRequest;
+import io.hingehoist.message.ProposeResponse;
+import io.hingehoist.message.QueryRequest;
+import io.hingehoist.message.QueryResponse;
+import io.hingehoist.message.ReplyStatus;
+import io.hingehoist.metrics.Metrics;
+import io.hingehoist.wire.Addresses;
+import io.hingehoist.wire.FrameConnection;
+import io.hingehoist.wire.FrameHandler;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
+
+/**
+ * Talks to the leader of the control replicas, whichever it is. Thread-safe.
+ *
+ * <p>Futures fail with {@link ControlUnavailableException} where an attempt is made once, and never
+ * fail where it is repeated. All state is owned by one thread of its own.
+ */
+public final class ControlClient implements AutoCloseable {
+  private static final int CONNECT_TIMEOUT_MS = 500;
+  private static final long ATTEMPT_TIMEOUT_MS = 1_500;
+  private static final long SWEEP_PERIOD_MS = 100;
+  private static final long RETRY_PAUSE_MS = 50;
+  private static final int MAX_QUEUED_FRAMES = 8_192;
+
+  private record Pending(CompletableFuture<Message> reply, long expiresAtMs) {}
+
+  private final List<String> addresses;
+  private final String ownAddress;
+  private final Hello hello;
+  private final Metrics metrics;
+  private final ThreadFactory threads;
+  private final ScheduledExecutorService executor;
+  private final Map<Long, Pending> pending = new HashMap<>();
+  private FrameConnection connection;
+  private String target;
+  private int nextAddress;
+  private long nextRequestId;
+
+  private ControlClient(
+      List<String> addresses,
+      String ownAddress,
+      Hello hello,
+      Metrics metrics,
+      ThreadFactory threads) {
+    this.addresses = List.copyOf(addresses);
+    this.ownAddress = ownAddress;
+    this.hello = hello;
+    this.metrics = metrics;
+    this.threads = threads;
+    this.target = addresses.getFirst();
+    this.executor = Executors.newSingleThreadScheduledExecutor(threads);
+  }
+
+  /**
+   * Creates a client of the control replicas at some addresses.
+   *
+   * @param ownAddress the address whose IP number the connections come from
+   */
+  public static ControlClient create(
+      List<String> addresses,
+      String ownAddress,
+      Hello hello,
+      Metrics metrics,
+      ThreadFactory threads) {
+    ControlClient client = new ControlClient(addresses, ownAddress, hello, metrics, threads);
+    client.executor.scheduleWithFixedDelay(
+        client::sweep, SWEEP_PERIOD_MS, SWEEP_PERIOD_MS, TimeUnit.MILLISECONDS);
+    return client;
+  }
+
+  /** Proposes a command again and again until it is known to be applied, and returns the result. */
+  public CompletableFuture<CommandResult> propose(Command command) {
+    CompletableFuture<CommandResult> result = new CompletableFuture<>();
+    proposeInto(command.toBytes(), result);
+    return result;
+  }
+
+  private void proposeInto(Bytes command, CompletableFuture<CommandResult> result) {
+    attempt(id -> new ProposeRequest(id, command), ATTEMPT_TIMEOUT_MS)
+        .whenComplete(
+            (reply, failure) -> {
+              boolean done =
+                  reply instanceof ProposeResponse response && response.status() == ReplyStatus.OK;
+              if (done) {
+                complete(result, ((ProposeResponse) reply).result());
+              } else {
+                later(() -> proposeInto(command, result));
+              }
+            });
+  }
+
+  private static void complete(CompletableFuture<CommandResult> result, Bytes bytes) {
+    try {
+      result.complete(CommandResult.fromBytes(bytes));
+    } catch (IOException e) {
+      result.completeExceptionally(e);
+    }
+  }
+
+  /** Reads from the leader once; fails if none answers within a time. */
+  public CompletableFuture<QueryAnswer> query(Query query, long timeoutMs) {
+    Bytes bytes = query.toBytes();
+    return attempt(id -> new QueryRequest(id, bytes), timeoutMs)
+        .thenApply(
+            reply -> {
+              if (reply instanceof QueryResponse response && response.status() == ReplyStatus.OK) {
+                return decodeAnswer(response.result());
+              }
+              throw new ControlUnavailableException("no leader answers");
+            });
+  }
+
+  private static QueryAnswer decodeAnswer(Bytes bytes) {
+    try {
+      return QueryAnswer.fromBytes(bytes);
+    } catch (IOException e) {
+      throw new ControlUnavailableException("the answer can't be read: " + e.getMessage());
+    }
+  }
+
+  /** Sends a heartbeat once. The function gets the number of the request. */
+  public CompletableFuture<HeartbeatResponse> heartbeat(LongFunction<HeartbeatRequest> request) {
+    return attempt(request::apply, ATTEMPT_TIMEOUT_MS)
+        .thenApply(
+            reply -> {
+              if (reply instanceof HeartbeatResponse response
+                  && response.status() == ReplyStatus.OK) {
+                return response;
+              }
+              throw new ControlUnavailableException("no leader answers");
+            });
+  }
+
+  private CompletableFuture<Message> attempt(LongFunction<Message> request, long timeoutMs) {
+    CompletableFuture<Message> reply = new CompletableFuture<>();
+    run(() -> send(request, timeoutMs, reply));
+    return reply;
+  }
+
+  private void send(
+      LongFunction<Message> request, long timeoutMs, CompletableFuture<Message> reply) {
+    long requestId = ++nextRequestId;
+    if (!isConnected() && !connect()) {
+      reply.completeExceptionally(new ControlUnavailableException("no replica is reachable"));
+      return;
+    }
+    pending.put(requestId, new Pending(reply, nowMs() + timeoutMs));
+    if (!connection.send(request.apply(requestId))) {
+      dropConnection("the connection was lost");
+    }
+  }
+
+  private boolean isConnected() {
+    return connection != null && connection.isOpen();
+  }
+
+  private boolean connect() {
+    try {
+      Socket socket = Addresses.connect(target, ownAddress, CONNECT_TIMEOUT_MS);
+      connection = FrameConnection.start(socket, handler(), metrics, threads, MAX_QUEUED_FRAMES);
+      connection.send(hello);
+      return true;
+    } catch (IOException e) {
+      turnToNextAddress();
+      return false;
+    }
+  }
+
+  private void turnToNextAddress() {
+    nextAddress = (nextAddress + 1) % addresses.size();
+    target = addresses.get(nextAddress);
+  }
+
+  private FrameHandler handler() {
+    return new FrameHandler() {
+      @Override
+      public void onMessage(FrameConnection from, Message message) {
+        run(() -> receive(message));
+      }
+
+      @Override
+      public void onClosed(FrameConnection from) {
+        run(
+            () -> {
+              if (from == connection) {
+                dropConnection("the connection was lost");
+              }
+            });
+      }
+    };
+  }
+
+  private void receive(Message message) {
+    switch (message) {
+      case ProposeResponse r -> settle(r.requestId(), r.status(), r.leaderAddress(), message);
+      case QueryResponse r -> settle(r.requestId(), r.status(), r.leaderAddress(), message);
+      case HeartbeatResponse r -> settle(r.requestId(), r.status(), r.leaderAddress(), message);
+      default -> dropConnection("not an answer: " + message.getClass().getSimpleName());
+    }
+  }
+
+  private void settle(long requestId, ReplyStatus status, String leader, Message message) {
+    Pending waiting = pending.remove(requestId);
+    if (waiting != null) {
+      waiting.reply().complete(message);
+    }
+    if (status == ReplyStatus.NOT_LEADER) {
+      follow(leader);
+    }
+  }
+
+  private void follow(String leader) {
+    if (leader.isEmpty()) {
+      turnToNextAddress();
+    } else if (!leader.equals(target)) {
+      target = leader;
+    } else {
+      return;
+    }
+    closeConnection("the leader is elsewhere");
+  }
+
+  /** A connection that does not answer is as good as lost: the replica may be frozen or cut off. */
+  private void sweep() {
+    long now = nowMs();
+    boolean late = pending.values().stream().anyMatch(waiting -> waiting.expiresAtMs() <= now);
+    if (late) {
+      dropConnection("no answer in time");
+    }
+  }
+
+  private void dropConnection(String why) {
+    turnToNextAddress();
+    closeConnection(why);
+  }
+
+  private void closeConnection(String why) {
+    if (connection != null) {
+      connection.close();
+      connection = null;
+    }
+    List<Pending> failed = List.copyOf(pending.values());
+    pending.clear();
+    failed.forEach(
+        waiting -> waiting.reply().completeExceptionally(new ControlUnavailableException(why)));
+  }
+
+  private void run(Runnable action) {
+    try {
+      executor.execute(action);
+    } catch (RejectedExecutionException e) {
+      // The client is closed, and nobody waits any more.
+    }
+  }
+
+  private void later(Runnable action) {
+    try {
+      executor.schedule(action, RETRY_PAUSE_MS, TimeUnit.MILLISECONDS);
+    } catch (RejectedExecutionException e) {
+      // The client is closed, and nobody waits any more.
+    }
+  }
+
+  private static long nowMs() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  /** Closes the connection. Repeated proposals end without an answer. */
+  @Override
+  public void close() {
+    executor.shutdownNow();
+    if (connection != null) {
+      connection.close();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/config/DaemonSettings.java
@@ -0,0 +1,14 @@
+package io.hingehoist.config;
+
+import io.hingehoist.settings.AgentSection;
+import io.hingehoist.settings.ControlSection;
+import io.hingehoist.settings.EntrySection;
+import io.hingehoist.settings.NodeSection;
+import java.util.Optional;
+
+/** The checked settings of one process. A section is present if the process plays its role. */
+public record DaemonSettings(
+    NodeSection node,
+    Optional<ControlSection> control,
+    Optional<EntrySection> entry,
+    Optional<AgentSection> agent) {}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/config/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The settings file of a process, checked in full before anything else happens.
+ *
+ * <p>Begin with {@link io.hingehoist.config.SettingsFile}. The sections and their ranges are
+ * generated from the schema, see {@link io.hingehoist.settings.NodeSection}.
+ */
+package io.hingehoist.config;
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/daemon/AgentProcess.java
@@ -0,0 +1,49 @@
+package io.hingehoist.daemon;
+
+import io.hingehoist.agent.AgentNode;
+import io.hingehoist.config.DaemonSettings;
+import io.hingehoist.metrics.Metrics;
+import io.hingehoist.settings.AgentSection;
+import io.hingehoist.wire.Addresses;
+import io.prometheus.metrics.exporter.httpserver.HTTPServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.util.concurrent.ThreadFactory;
+
+/** A process with the agent role: no Dropwizard, few threads, small stacks. */
+final class AgentProcess {
+  private static final long STACK_BYTES = 192 * 1024;
+
+  private AgentProcess() {}
+
+  static void start(DaemonSettings settings, Metrics metrics) throws IOException {
+    AgentSection section = settings.agent().orElseThrow();
+    ThreadFactory threads = AgentProcess::newThread;
+    AgentNode agent = AgentNode.start(settings.node(), section, metrics, threads, Main::halt);
+    if (!section.metricsAddress().isEmpty()) {
+      serveMetrics(section.metricsAddress(), metrics);
+    }
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(agent), "stop"));
+  }
+
+  private static Thread newThread(Runnable action) {
+    Thread thread = new Thread(null, action, "traffic", STACK_BYTES);
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  static void serveMetrics(String address, Metrics metrics) throws IOException {
+    HTTPServer.builder()
+        .inetAddress(InetAddress.getByName(Addresses.host(address)))
+        .port(Addresses.port(address))
+        .registry(metrics.registry())
+        .buildAndStart();
+  }
+
+  private static void stop(AgentNode agent) {
+    if (!agent.stop()) {
+      Runtime.getRuntime().halt(ExitCode.UNSETTLED_STOP.code());
+    }
+    Runtime.getRuntime().halt(ExitCode.OK.code());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/daemon/Logs.java
@@ -0,0 +1,48 @@
+package io.hingehoist.daemon;
+
+import io.hingehoist.settings.NodeSection;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.Logger;
+import java.util.logging.StreamHandler;
+
+/**
+ * Static helpers that set up JBoss Logging on the logging of the JDK, which costs an agent least.
+ */
+final class Logs {
+  private Logs() {}
+
+  /** Chooses the backend; must come before the first logger. */
+  static void chooseBackend() {
+    System.setProperty("org.jboss.logging.provider", "jdk");
+  }
+
+  static void configure(NodeSection node) {
+    LogManager.getLogManager().reset();
+    Level level =
+        switch (node.logLevel()) {
+          case "DEBUG" -> Level.FINE;
+          case "WARN" -> Level.WARNING;
+          case "ERROR" -> Level.SEVERE;
+          default -> Level.INFO;
+        };
+    Handler handler = new FlushingHandler(new LineFormatter(node.logFormat().equals("json")));
+    handler.setLevel(Level.ALL);
+    Logger.getLogger("").addHandler(handler);
+    Logger.getLogger("").setLevel(Level.WARNING);
+    Logger.getLogger("io.hingehoist").setLevel(level);
+  }
+
+  private static final class FlushingHandler extends StreamHandler {
+    private FlushingHandler(LineFormatter formatter) {
+      super(System.out, formatter);
+    }
+
+    @Override
+    public synchronized void publish(java.util.logging.LogRecord record) {
+      super.publish(record);
+      flush();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/daemon/Main.java
@@ -0,0 +1,118 @@
+package io.hingehoist.daemon;
+
+import io.hingehoist.config.DaemonSettings;
+import io.hingehoist.config.SettingsFile;
+import io.hingehoist.config.SettingsResult;
+import io.hingehoist.journal.DamageException;
+import io.hingehoist.journal.Disk;
+import io.hingehoist.journal.Identity;
+import io.hingehoist.journal.Journal;
+import io.hingehoist.metrics.Metrics;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.UUID;
+
+/** Starts {@code hingehoistd}. */
+public final class Main {
+  private static final String USAGE =
+      """
+      usage: hingehoistd run FILE      run the roles that a settings file names
+             hingehoistd check FILE    check a settings file and do nothing else
+             hingehoistd found FILE    make the data folder the first replica of a new cluster;
+                                       once in the life of a cluster, on one box only
+             hingehoistd --help        show this
+
+      exit codes: 0 done, 64 wrong command line, 65 damaged data folder, 70 broken invariant,
+                  73 an address or folder can't be opened, 74 the disk failed,
+                  75 a planned stop could not settle everything in time, 78 wrong settings file
+      """;
+
+  private Main() {}
+
+  /** Runs the program. */
+  public static void main(String[] args) {
+    Logs.chooseBackend();
+    ExitCode code = run(List.of(args));
+    if (code != ExitCode.OK) {
+      System.exit(code.code());
+    }
+  }
+
+  private static ExitCode run(List<String> args) {
+    if (args.equals(List.of("--help"))) {
+      System.out.print(USAGE);
+      return ExitCode.OK;
+    }
+    if (args.size() != 2 || !List.of("run", "check", "found").contains(args.getFirst())) {
+      System.err.print(USAGE);
+      return ExitCode.USAGE;
+    }
+    return switch (SettingsFile.read(Path.of(args.getLast()))) {
+      case SettingsResult.Invalid invalid -> {
+        invalid.problems().forEach(System.err::println);
+        yield ExitCode.BAD_SETTINGS;
+      }
+      case SettingsResult.Valid valid -> run(args.getFirst(), valid.settings());
+    };
+  }
+
+  private static ExitCode run(String action, DaemonSettings settings) {
+    return switch (action) {
+      case "check" -> {
+        System.out.println("the settings are sound");
+        yield ExitCode.OK;
+      }
+      case "found" -> found(settings);
+      default -> start(settings);
+    };
+  }
+
+  private static ExitCode found(DaemonSettings settings) {
+    if (settings.control().isEmpty()) {
+      System.err.println("node.roles: value has no control; allowed: a file with the control role");
+      return ExitCode.BAD_SETTINGS;
+    }
+    try {
+      Identity identity =
+          Journal.found(
+              Path.of(settings.node().dataFolder()),
+              Disk.real(),
+              UUID.randomUUID().toString(),
+              settings.control().get().listenAddress(),
+              System.currentTimeMillis());
+      System.out.println("founded cluster " + identity.clusterId());
+      return ExitCode.OK;
+    } catch (IOException e) {
+      System.err.println(e.getMessage());
+      return ExitCode.CANNOT_OPEN;
+    }
+  }
+
+  private static ExitCode start(DaemonSettings settings) {
+    Logs.configure(settings.node());
+    Metrics metrics = Metrics.create();
+    try {
+      if (settings.agent().isPresent()) {
+        AgentProcess.start(settings, metrics);
+      } else {
+        ServerProcess.start(settings, metrics);
+      }
+      return ExitCode.OK;
+    } catch (DamageException e) {
+      System.err.println(e.getMessage());
+      return ExitCode.DAMAGED_DATA;
+    } catch (Exception e) {
+      System.err.println("can't start: " + e);
+      return ExitCode.CANNOT_OPEN;
+    }
+  }
+
+  /** Stops the process at once: after this error, going on could break a promise. */
+  static void halt(Throwable error) {
+    ExitCode code = error instanceof IOException ? ExitCode.DISK_FAILED : ExitCode.BROKEN_INVARIANT;
+    System.err.println("event=halted code=" + code.code() + " error=\"" + error + "\"");
+    error.printStackTrace();
+    Runtime.getRuntime().halt(code.code());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/entry/BodyLimitFilter.java
@@ -0,0 +1,68 @@
+package io.hingehoist.entry;
+
+import jakarta.ws.rs.WebApplicationException;
+import jakarta.ws.rs.container.ContainerRequestContext;
+import jakarta.ws.rs.container.ContainerRequestFilter;
+import jakarta.ws.rs.container.PreMatching;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.Response;
+import java.io.FilterInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+
+/** Refuses bodies that are too large, whether or not they say so. Thread-safe. */
+@PreMatching
+final class BodyLimitFilter implements ContainerRequestFilter {
+  private final long maxBytes;
+
+  BodyLimitFilter(long maxBytes) {
+    this.maxBytes = maxBytes;
+  }
+
+  @Override
+  public void filter(ContainerRequestContext context) {
+    if (context.getLength() > maxBytes) {
+      throw tooLarge();
+    }
+    context.setEntityStream(new LimitedStream(context.getEntityStream()));
+  }
+
+  private WebApplicationException tooLarge() {
+    AnswerBody body =
+        AnswerBody.refused("INVALID", "body: allowed: at most " + maxBytes + " bytes", null);
+    return new WebApplicationException(
+        Response.status(Response.Status.REQUEST_ENTITY_TOO_LARGE)
+            .type(MediaType.APPLICATION_JSON)
+            .entity(body)
+            .build());
+  }
+
+  private final class LimitedStream extends FilterInputStream {
+    private long left = maxBytes;
+
+    private LimitedStream(InputStream in) {
+      super(in);
+    }
+
+    @Override
+    public int read() throws IOException {
+      int value = super.read();
+      count(value < 0 ? 0 : 1);
+      return value;
+    }
+
+    @Override
+    public int read(byte[] buffer, int offset, int length) throws IOException {
+      int count = super.read(buffer, offset, length);
+      count(Math.max(0, count));
+      return count;
+    }
+
+    private void count(int bytes) {
+      left -= bytes;
+      if (left < 0) {
+        throw tooLarge();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/entry/ControlSession.java
@@ -0,0 +1,165 @@
+package io.hingehoist.entry;
+
+import io.hingehoist.client.ControlClient;
+import io.hingehoist.command.CommandResult;
+import io.hingehoist.command.MemberRefused;
+import io.hingehoist.command.RegisterEntry;
+import io.hingehoist.message.HeartbeatRequest;
+import io.hingehoist.message.HeartbeatResponse;
+import io.hingehoist.message.MembersUpdate;
+import io.hingehoist.message.OwnedJob;
+import io.hingehoist.message.Role;
+import io.hingehoist.message.SettingsUpdate;
+import io.hingehoist.settings.SettingsTree;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.function.Supplier;
+import org.jboss.logging.Logger;
+
+/**
+ * An entry's standing with the control replicas: its incarnation, its lease, and the settings and
+ * members as of that lease. Owned by the dispatch thread.
+ */
+final class ControlSession {
+  private static final Logger LOG = Logger.getLogger(ControlSession.class);
+  private static final long HEARTBEAT_MS = 250;
+
+  /** Leases are taken a twentieth shorter, in case two clocks run at different rates. */
+  private static final long LEASE_MARGIN_DIVISOR = 20;
+
+  /** Takes what the control replicas say, on the dispatch thread. */
+  interface Listener {
+    void onSettings(SettingsTree tree);
+
+    void onMembers(MembersUpdate members);
+
+    void onLease(long untilMs, long floorMs);
+
+    void onAdopted(OwnedJob job);
+
+    void onIncarnationEnded();
+  }
+
+  private final String entryId;
+  private final String address;
+  private final String zone;
+  private final ControlClient control;
+  private final Executor dispatchThread;
+  private final Listener listener;
+  private final Supplier<List<Long>> ownedJobIds;
+  private SettingsTree settings = SettingsTree.empty();
+  private boolean hasSettings;
+  private long membersVersion = -1;
+  private long incarnation = System.currentTimeMillis();
+  private long sentAtMs;
+  private boolean open;
+  private boolean registering;
+
+  ControlSession(
+      String entryId,
+      String address,
+      String zone,
+      ControlClient control,
+      Executor dispatchThread,
+      Listener listener,
+      Supplier<List<Long>> ownedJobIds) {
+    this.entryId = entryId;
+    this.address = address;
+    this.zone = zone;
+    this.control = control;
+    this.dispatchThread = dispatchThread;
+    this.listener = listener;
+    this.ownedJobIds = ownedJobIds;
+  }
+
+  long incarnation() {
+    return incarnation;
+  }
+
+  SettingsTree settings() {
+    return settings;
+  }
+
+  /** Sends a heartbeat when one is due. */
+  void onTick(long nowMs) {
+    if (open || nowMs - sentAtMs < HEARTBEAT_MS) {
+      return;
+    }
+    open = true;
+    sentAtMs = nowMs;
+    long sentIncarnation = incarnation;
+    // Without settings yet, a revision that nobody has makes the leader send the whole tree.
+    long revision = hasSettings ? settings.revision() : -1;
+    List<Long> owned = ownedJobIds.get();
+    control
+        .heartbeat(
+            id ->
+                new HeartbeatRequest(
+                    id,
+                    Role.ENTRY,
+                    entryId,
+                    sentIncarnation,
+                    false,
+                    revision,
+                    membersVersion,
+                    owned))
+        .whenComplete(
+            (response, failure) ->
+                dispatchThread.execute(
+                    () -> {
+                      open = false;
+                      if (response != null && sentIncarnation == incarnation) {
+                        onResponse(response, nowMs);
+                      }
+                    }));
+  }
+
+  private void onResponse(HeartbeatResponse response, long requestSentAtMs) {
+    response.settings().ifPresent(this::takeSettings);
+    response.members().ifPresent(this::takeMembers);
+    if (!response.registered()) {
+      register();
+      return;
+    }
+    long leaseMs = response.leaseMs() - response.leaseMs() / LEASE_MARGIN_DIVISOR;
+    listener.onLease(requestSentAtMs + leaseMs, response.floorMs());
+    response.adopted().forEach(listener::onAdopted);
+  }
+
+  private void takeSettings(SettingsUpdate update) {
+    if (hasSettings && update.revision() < settings.revision()) {
+      return;
+    }
+    SettingsTree base = update.snapshot() ? SettingsTree.empty() : settings;
+    settings = base.with(update.revision(), update.entries());
+    hasSettings = true;
+    listener.onSettings(settings);
+  }
+
+  private void takeMembers(MembersUpdate update) {
+    if (update.version() > membersVersion) {
+      membersVersion = update.version();
+      listener.onMembers(update);
+    }
+  }
+
+  private void register() {
+    if (registering) {
+      return;
+    }
+    registering = true;
+    control
+        .propose(new RegisterEntry(entryId, incarnation, address, zone))
+        .thenAccept(result -> dispatchThread.execute(() -> onRegistered(result)));
+  }
+
+  private void onRegistered(CommandResult result) {
+    registering = false;
+    sentAtMs = 0;
+    if (result instanceof MemberRefused refused) {
+      incarnation = Math.max(System.currentTimeMillis(), refused.currentIncarnation() + 1);
+      LOG.infof("event=incarnationRenewed entry=%s incarnation=%d", entryId, incarnation);
+      listener.onIncarnationEnded();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/entry/EntryApplication.java
@@ -0,0 +1,112 @@
+package io.hingehoist.entry;
+
+import com.google.inject.Guice;
+import com.google.inject.Injector;
+import io.dropwizard.configuration.ConfigurationFactory;
+import io.dropwizard.configuration.ConfigurationSourceProvider;
+import io.dropwizard.core.Application;
+import io.dropwizard.core.Configuration;
+import io.dropwizard.core.server.SimpleServerFactory;
+import io.dropwizard.core.setup.Bootstrap;
+import io.dropwizard.core.setup.Environment;
+import io.dropwizard.jetty.HttpConnectorFactory;
+import io.dropwizard.logging.common.DefaultLoggingFactory;
+import io.hingehoist.metrics.Metrics;
+import io.hingehoist.settings.EntrySection;
+import io.hingehoist.wire.Addresses;
+import io.prometheus.metrics.exporter.servlet.jakarta.PrometheusMetricsServlet;
+import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.server.Server;
+
+/**
+ * The HTTP side of an entry, on Dropwizard. Its configuration comes from the settings file that was
+ * checked before, not from a file of its own.
+ */
+public final class EntryApplication extends Application<Configuration> {
+  private static final int MAX_THREADS = 256;
+
+  private final EntryNode entry;
+  private final Metrics metrics;
+  private final CompletableFuture<Server> server = new CompletableFuture<>();
+
+  private EntryApplication(EntryNode entry, Metrics metrics) {
+    this.entry = entry;
+    this.metrics = metrics;
+  }
+
+  /** Starts to serve. Returns once connections are taken. */
+  public static EntryApplication start(EntryNode entry, Metrics metrics) throws Exception {
+    EntryApplication application = new EntryApplication(entry, metrics);
+    application.run("server");
+    return application;
+  }
+
+  @Override
+  public String getName() {
+    return "hingehoistd";
+  }
+
+  @Override
+  public void initialize(Bootstrap<Configuration> bootstrap) {
+    bootstrap.setConfigurationFactoryFactory(
+        (type, validator, mapper, prefix) -> new CheckedConfiguration());
+  }
+
+  private final class CheckedConfiguration implements ConfigurationFactory<Configuration> {
+    @Override
+    public Configuration build(ConfigurationSourceProvider provider, String path) {
+      return build();
+    }
+
+    @Override
+    public Configuration build() {
+      EntrySection settings = entry.settings();
+      HttpConnectorFactory connector = new HttpConnectorFactory();
+      connector.setBindHost(Addresses.host(settings.httpAddress()));
+      connector.setPort(Addresses.port(settings.httpAddress()));
+      SimpleServerFactory factory = new SimpleServerFactory();
+      factory.setConnector(connector);
+      factory.setApplicationContextPath("/");
+      factory.setAdminContextPath("/admin");
+      factory.setMaxThreads(MAX_THREADS);
+      factory.setRegisterDefaultExceptionMappers(false);
+      DefaultLoggingFactory logging = new DefaultLoggingFactory();
+      logging.setLevel("WARN");
+      Configuration configuration = new Configuration();
+      configuration.setServerFactory(factory);
+      configuration.setLoggingFactory(logging);
+      return configuration;
+    }
+  }
+
+  @Override
+  public void run(Configuration configuration, Environment environment) {
+    Injector injector = Guice.createInjector(new EntryModule(entry, metrics));
+    var jersey = environment.jersey();
+    jersey.register(new BodyLimitFilter(entry.settings().maxBodyBytes()));
+    jersey.register(new ErrorMappers.InvalidField());
+    jersey.register(new ErrorMappers.BadJson());
+    jersey.register(injector.getInstance(JobResource.class));
+    jersey.register(injector.getInstance(OperatorResource.class));
+    jersey.register(injector.getInstance(HealthResource.class));
+    environment
+        .servlets()
+        .addServlet("metrics", new PrometheusMetricsServlet(metrics.registry()))
+        .addMapping("/metrics");
+    environment
+        .getObjectMapper()
+        .enable(com.fasterxml.jackson.databind.DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+    environment.lifecycle().addServerLifecycleListener(this::onStarted);
+  }
+
+  /** The planned stop decides when the server stops, not the end of the process. */
+  private void onStarted(Server started) {
+    started.setStopAtShutdown(false);
+    server.complete(started);
+  }
+
+  /** Stops to serve, after the answers that are being written. */
+  public void stop() throws Exception {
+    server.join().stop();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/entry/EntryModule.java
@@ -0,0 +1,24 @@
+package io.hingehoist.entry;
+
+import com.google.inject.AbstractModule;
+import io.hingehoist.metrics.Metrics;
+
+/** Wires the resources of an entry. */
+final class EntryModule extends AbstractModule {
+  private final EntryNode entry;
+  private final Metrics metrics;
+
+  EntryModule(EntryNode entry, Metrics metrics) {
+    this.entry = entry;
+    this.metrics = metrics;
+  }
+
+  @Override
+  protected void configure() {
+    bind(EntryNode.class).toInstance(entry);
+    bind(Metrics.class).toInstance(metrics);
+    bind(JobResource.class);
+    bind(OperatorResource.class);
+    bind(HealthResource.class);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/entry/HealthResource.java
@@ -0,0 +1,36 @@
+package io.hingehoist.entry;
+
+import jakarta.inject.Inject;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.Response;
+
+/** Serves the platform's balancer. Thread-safe. */
+@Path("/health")
+@Produces(MediaType.TEXT_PLAIN)
+public final class HealthResource {
+  private final EntryNode entry;
+
+  @Inject
+  HealthResource(EntryNode entry) {
+    this.entry = entry;
+  }
+
+  /** Says that the process runs. */
+  @GET
+  @Path("/live")
+  public String live() {
+    return "live\n";
+  }
+
+  /** Says whether callers should be sent here. */
+  @GET
+  @Path("/ready")
+  public Response ready() {
+    return entry.isReady()
+        ? Response.ok("ready\n").build()
+        : Response.status(Response.Status.SERVICE_UNAVAILABLE).entity("not ready\n").build();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/entry/JobSubmission.java
@@ -0,0 +1,57 @@
+package io.hingehoist.entry;
+
+import io.hingehoist.message.Bytes;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.List;
+
+/**
+ * A checked submission of a job.
+ *
+ * @param submittedAtMs when the caller first submitted it, in milliseconds since 1970; the same in
+ *     every resubmission
+ * @param deadlineAtMs when it is given up; not part of what a resubmission must repeat
+ */
+public record JobSubmission(
+    String caller,
+    String submissionId,
+    long submittedAtMs,
+    String service,
+    String jobClass,
+    String team,
+    long deadlineAtMs,
+    List<String> payloads) {
+
+  /** Copies the payloads. */
+  public JobSubmission {
+    payloads = List.copyOf(payloads);
+  }
+
+  /** Returns a digest of all that a resubmission must repeat. */
+  Bytes digest() {
+    MessageDigest sha = sha256();
+    update(sha, service);
+    update(sha, jobClass);
+    update(sha, team);
+    sha.update(ByteBuffer.allocate(Long.BYTES).putLong(0, submittedAtMs));
+    payloads.forEach(payload -> update(sha, payload));
+    return Bytes.copyOf(sha.digest());
+  }
+
+  /** The length goes first, so that no two lists of texts are the same bytes. */
+  private static void update(MessageDigest sha, String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    sha.update(ByteBuffer.allocate(Integer.BYTES).putInt(0, bytes.length));
+    sha.update(bytes);
+  }
+
+  private static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/entry/OperatorResource.java
@@ -0,0 +1,144 @@
+package io.hingehoist.entry;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import io.hingehoist.command.ChangeAgentState;
+import io.hingehoist.command.ChangeSettings;
+import io.hingehoist.command.CommandResult;
+import io.hingehoist.command.MemberRefused;
+import io.hingehoist.command.SettingsAccepted;
+import io.hingehoist.command.SettingsRefused;
+import io.hingehoist.message.MemberState;
+import jakarta.inject.Inject;
+import jakarta.ws.rs.Consumes;
+import jakarta.ws.rs.DefaultValue;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.POST;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.PathParam;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.QueryParam;
+import jakarta.ws.rs.container.AsyncResponse;
+import jakarta.ws.rs.container.Suspended;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.Response;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** Serves operators. See docs/API.md. Thread-safe. */
+@Path("/v1")
+@Produces(MediaType.APPLICATION_JSON)
+@Consumes(MediaType.APPLICATION_JSON)
+public final class OperatorResource {
+  private static final Set<String> REPORTS =
+      Set.of("settings", "tree", "history", "members", "audit", "status");
+  private static final int UNPROCESSABLE = 422;
+  private static final long CHANGE_TIMEOUT_MS = 10_000;
+
+  /** The JSON body of a change of settings, unchecked. Without a value the node inherits again. */
+  record ChangeBody(
+      String changeId, Long baseRevision, String path, String key, String value, String operator) {}
+
+  /** The JSON body of a change of an agent's state, unchecked. */
+  record DrainBody(String operator) {}
+
+  /** The JSON answer to a change. */
+  @JsonInclude(JsonInclude.Include.NON_NULL)
+  record ChangeAnswer(String result, Long revision, String reason) {}
+
+  private final EntryNode entry;
+
+  @Inject
+  OperatorResource(EntryNode entry) {
+    this.entry = entry;
+  }
+
+  /** Returns a report as JSON. */
+  @GET
+  @Path("/reports/{report}")
+  public void report(
+      @PathParam("report") String report,
+      @QueryParam("argument") @DefaultValue("") String argument,
+      @Suspended AsyncResponse response) {
+    if (!REPORTS.contains(report)) {
+      throw new InvalidFieldException("report", report, String.join(", ", REPORTS));
+    }
+    entry
+        .report(report, argument)
+        .whenComplete((json, failure) -> response.resume(failure == null ? json : unavailable()));
+  }
+
+  private static Response unavailable() {
+    ChangeAnswer body = new ChangeAnswer("unknown", null, "no control replica leads");
+    return Response.status(Response.Status.GATEWAY_TIMEOUT).entity(body).build();
+  }
+
+  /** Changes one value of the settings tree. */
+  @POST
+  @Path("/settings")
+  public void changeSettings(ChangeBody body, @Suspended AsyncResponse response) {
+    ChangeBody present = Submissions.required("(whole body)", body);
+    ChangeSettings change =
+        new ChangeSettings(
+            Submissions.id("changeId", present.changeId()),
+            Submissions.required("baseRevision", present.baseRevision()),
+            Submissions.required("path", present.path()),
+            Submissions.required("key", present.key()),
+            Optional.ofNullable(present.value()),
+            Submissions.id("operator", present.operator()));
+    propose(change, response);
+  }
+
+  /** Lets an agent take no new work. */
+  @POST
+  @Path("/members/{agentId}/drain")
+  public void drain(
+      @PathParam("agentId") String agentId, DrainBody body, @Suspended AsyncResponse response) {
+    changeState(agentId, MemberState.DRAINING, body, response);
+  }
+
+  /** Lets an agent take work again. */
+  @POST
+  @Path("/members/{agentId}/undrain")
+  public void undrain(
+      @PathParam("agentId") String agentId, DrainBody body, @Suspended AsyncResponse response) {
+    changeState(agentId, MemberState.LIVE, body, response);
+  }
+
+  private void changeState(
+      String agentId, MemberState state, DrainBody body, AsyncResponse response) {
+    DrainBody present = Submissions.required("(whole body)", body);
+    String operator = Submissions.id("operator", present.operator());
+    propose(new ChangeAgentState(agentId, 0, state, "operator", operator), response);
+  }
+
+  private void propose(io.hingehoist.command.Command command, AsyncResponse response) {
+    response.setTimeout(CHANGE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    response.setTimeoutHandler(late -> late.resume(unavailable()));
+    entry.propose(command).thenAccept(result -> response.resume(toResponse(result)));
+  }
+
+  private static Response toResponse(CommandResult result) {
+    return switch (result) {
+      case SettingsAccepted accepted -> answer(200, "accepted", accepted.revision(), null);
+      case SettingsRefused refused -> answer(statusOf(refused), refused);
+      case MemberRefused refused -> answer(404, "refused", null, refused.detail());
+      default -> answer(200, "accepted", null, null);
+    };
+  }
+
+  private static int statusOf(SettingsRefused refused) {
+    return switch (refused.reason()) {
+      case CHANGE_ID_CONFLICT, STALE_BASE -> Response.Status.CONFLICT.getStatusCode();
+      case INVALID -> UNPROCESSABLE;
+    };
+  }
+
+  private static Response answer(int status, SettingsRefused refused) {
+    return answer(status, "refused", refused.currentRevision(), refused.detail());
+  }
+
+  private static Response answer(int status, String result, Long revision, String reason) {
+    return Response.status(status).entity(new ChangeAnswer(result, revision, reason)).build();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/entry/Refusals.java
@@ -0,0 +1,37 @@
+package io.hingehoist.entry;
+
+import io.hingehoist.command.AdmissionRefused;
+import io.hingehoist.command.RefusalReason;
+import io.hingehoist.dispatch.RefusalCause;
+import io.hingehoist.dispatch.RequestOutcome;
+
+/** Static helpers that turn refusals into answers. */
+final class Refusals {
+  private static final long RETRY_AFTER_MS = 1_000;
+
+  private Refusals() {}
+
+  static RequestOutcome.Refused stopping() {
+    return new RequestOutcome.Refused(
+        RefusalCause.STOPPING, "this entry is about to stop", RETRY_AFTER_MS);
+  }
+
+  static Answer toAnswer(RequestOutcome.Refused refused) {
+    return new Answer.Refused(refused.cause().name(), refused.reason(), refused.retryAfterMs());
+  }
+
+  /** A refusal for what the submission says does not go away by itself: no time to come back. */
+  static Answer toAnswer(AdmissionRefused refused) {
+    long retryAfterMs = refused.reason() == RefusalReason.ENTRY_NOT_LIVE ? RETRY_AFTER_MS : 0;
+    return new Answer.Refused(refused.reason().name(), refused.detail(), retryAfterMs);
+  }
+
+  static Answer toAnswer(RequestOutcome outcome) {
+    return switch (outcome) {
+      case RequestOutcome.Complete complete ->
+          new Answer.Complete(java.util.List.of(complete.result()));
+      case RequestOutcome.Failed failed -> new Answer.Failed(failed.reason());
+      case RequestOutcome.Refused refused -> toAnswer(refused);
+    };
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/entry/RequestBody.java
@@ -0,0 +1,13 @@
+package io.hingehoist.entry;
+
+/** The JSON body of a single request, unchecked: anything may be missing. */
+record RequestBody(
+    String caller,
+    String submissionId,
+    Long submittedAtMs,
+    String service,
+    String jobClass,
+    String team,
+    Long deadlineAtMs,
+    Boolean repeatable,
+    String payload) {}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/entry/WaitingLimit.java
@@ -0,0 +1,34 @@
+package io.hingehoist.entry;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+
+/** Bounds the callers that wait for an answer at once. Thread-safe. */
+final class WaitingLimit {
+  private static final long RETRY_AFTER_MS = 1_000;
+
+  private final long limit;
+  private final AtomicLong waiting = new AtomicLong();
+
+  private WaitingLimit(long limit) {
+    this.limit = limit;
+  }
+
+  static WaitingLimit create(long limit) {
+    return new WaitingLimit(limit);
+  }
+
+  /**
+   * Starts what a caller asks for, unless too many wait. The answer is "unknown" then, not
+   * "refused": whether the same submission was admitted before has not been looked up.
+   */
+  CompletableFuture<Answer> within(Supplier<CompletableFuture<Answer>> action) {
+    if (waiting.incrementAndGet() > limit) {
+      waiting.decrementAndGet();
+      Answer busy = new Answer.Unknown("too many callers wait here", RETRY_AFTER_MS);
+      return CompletableFuture.completedFuture(busy);
+    }
+    return action.get().whenComplete((answer, failure) -> waiting.decrementAndGet());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/journal/Journal.java
@@ -0,0 +1,199 @@
+package io.hingehoist.journal;
+
+import io.hingehoist.message.Bytes;
+import io.hingehoist.message.LogEntry;
+import io.hingehoist.metrics.Metrics;
+import io.hingehoist.replication.DurableState;
+import io.hingehoist.replication.LogSnapshot;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The journal of a control replica: segments of checksummed blocks in one folder.
+ *
+ * <p>Steps are collected with the {@code add} methods and made durable together by {@link #sync},
+ * as one block: a group commit. After an {@link IOException} nothing is known of what the disk
+ * holds, so the process must stop. Not thread-safe: the control thread owns it.
+ */
+public final class Journal implements AutoCloseable {
+  private static final String SUFFIX = ".journal";
+
+  private final Path folder;
+  private final Disk disk;
+  private final Metrics metrics;
+  private final List<Bytes> unsynced = new ArrayList<>();
+  private Identity identity;
+  private DurableState recovered;
+  private long segmentNumber;
+  private long segmentBytes;
+  private SyncedFile segment;
+
+  private Journal(Path folder, Disk disk, Metrics metrics) {
+    this.folder = folder;
+    this.disk = disk;
+    this.metrics = metrics;
+  }
+
+  /**
+   * Opens the journal in a folder; a folder without one becomes a blank replica's.
+   *
+   * @throws DamageException if what was synced can't be read back; the message names the file
+   */
+  public static Journal open(Path folder, Disk disk, Metrics metrics) throws IOException {
+    Journal journal = new Journal(folder, disk, metrics);
+    Files.createDirectories(folder);
+    Optional<Identity> found = Identity.read(folder);
+    List<Path> segments = Folders.listSorted(folder, SUFFIX);
+    if (found.isEmpty() && segments.isEmpty()) {
+      journal.format(DurableState.blank(), Identity.random());
+      return journal;
+    }
+    if (found.isEmpty() || segments.isEmpty()) {
+      throw DamageException.at(folder, 0, "identity and segments belong together, one is missing");
+    }
+    journal.recover(found.get(), segments);
+    return journal;
+  }
+
+  /** Makes an empty folder the first replica of a new cluster. Fails where there is a replica. */
+  public static Identity found(
+      Path folder, Disk disk, String clusterId, String replicaAddress, long nowMs)
+      throws IOException {
+    Files.createDirectories(folder);
+    if (Identity.read(folder).isPresent() || !Folders.listSorted(folder, SUFFIX).isEmpty()) {
+      throw new IOException(folder + ": holds the state of a replica already");
+    }
+    Identity identity = Identity.random().inCluster(clusterId);
+    LogEntry first =
+        io.hingehoist.replication.Replica.foundingEntry(
+            identity.replicaId(), replicaAddress, nowMs);
+    DurableState state = new DurableState(1, "", LogSnapshot.empty(), List.of(first));
+    try (Journal journal = new Journal(folder, disk, Metrics.create())) {
+      journal.format(state, identity);
+    }
+    return identity;
+  }
+
+  /** The identity is written last: a folder that has one is complete. */
+  private void format(DurableState state, Identity newIdentity) throws IOException {
+    recovered = state;
+    startSegment(0, state.term(), state.votedFor(), state.entries());
+    identity = newIdentity;
+    identity.write(folder, disk);
+  }
+
+  private void recover(Identity found, List<Path> segments) throws IOException {
+    identity = found;
+    recovered = JournalReader.read(segments, Snapshots.readLatest(folder));
+    Path last = segments.getLast();
+    segmentNumber = numberOf(last);
+    segmentBytes = Files.size(last);
+    segment = disk.openForAppend(last);
+  }
+
+  /** Returns the identity of this disk. */
+  public Identity identity() {
+    return identity;
+  }
+
+  /** Returns what the disk held when the journal was opened. */
+  public DurableState recovered() {
+    return recovered;
+  }
+
+  /** Binds this disk to a cluster, durably. */
+  public void joinCluster(String clusterId) throws IOException {
+    identity = identity.inCluster(clusterId);
+    identity.write(folder, disk);
+  }
+
+  /** Adds a vote to the next group commit. */
+  public void addVote(long term, String votedFor) {
+    unsynced.add(new VoteStep(term, votedFor).toBytes());
+  }
+
+  /** Adds entries to the next group commit. */
+  public void addEntries(List<LogEntry> entries) {
+    entries.forEach(entry -> unsynced.add(new EntryStep(entry).toBytes()));
+  }
+
+  /** Adds the removal of the entries from an index on to the next group commit. */
+  public void addTruncation(long fromIndex) {
+    unsynced.add(new TruncateStep(fromIndex).toBytes());
+  }
+
+  /** Returns whether something waits for {@link #sync}. */
+  public boolean hasUnsynced() {
+    return !unsynced.isEmpty();
+  }
+
+  /** Writes what was added as one block and returns once it is on the disk. */
+  public void sync() throws IOException {
+    if (unsynced.isEmpty()) {
+      return;
+    }
+    ByteBuffer block = Blocks.toBlock(unsynced);
+    unsynced.clear();
+    int bytes = block.remaining();
+    long startNanos = System.nanoTime();
+    segment.append(block);
+    segment.sync();
+    segmentBytes += bytes;
+    metrics.noteSync(bytes, (System.nanoTime() - startNanos) / 1e9);
+  }
+
+  /** Returns the size of the current segment. */
+  public long segmentBytes() {
+    return segmentBytes;
+  }
+
+  /**
+   * Saves a snapshot and starts a segment that holds only what follows it.
+   *
+   * @param entriesAfter the entries after the snapshot
+   */
+  public void saveSnapshot(
+      LogSnapshot snapshot, long term, String votedFor, List<LogEntry> entriesAfter)
+      throws IOException {
+    // What waits is part of the state passed in.
+    unsynced.clear();
+    Snapshots.write(folder, snapshot, disk);
+    segment.close();
+    startSegment(snapshot.lastIndex(), term, votedFor, entriesAfter);
+    for (Path old : Folders.listSorted(folder, SUFFIX)) {
+      if (numberOf(old) < segmentNumber) {
+        Files.delete(old);
+      }
+    }
+    Snapshots.deleteBefore(folder, snapshot.lastIndex());
+  }
+
+  private void startSegment(long snapshotIndex, long term, String votedFor, List<LogEntry> entries)
+      throws IOException {
+    segmentNumber++;
+    List<Bytes> steps = new ArrayList<>();
+    steps.add(new ResetStep(snapshotIndex).toBytes());
+    steps.add(new VoteStep(term, votedFor).toBytes());
+    entries.forEach(entry -> steps.add(new EntryStep(entry).toBytes()));
+    Path path = folder.resolve("%016d%s".formatted(segmentNumber, SUFFIX));
+    ByteBuffer block = Blocks.toBlock(steps);
+    segmentBytes = block.remaining();
+    disk.writeAtomically(path, block);
+    segment = disk.openForAppend(path);
+  }
+
+  private static long numberOf(Path segment) {
+    String name = segment.getFileName().toString();
+    return Long.parseLong(name.substring(0, name.length() - SUFFIX.length()));
+  }
+
+  @Override
+  public void close() throws IOException {
+    segment.close();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/journal/Snapshots.java
@@ -0,0 +1,72 @@
+package io.hingehoist.journal;
+
+import io.hingehoist.message.Bytes;
+import io.hingehoist.message.ReplicaSet;
+import io.hingehoist.replication.LogSnapshot;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** Static helpers that keep snapshots as files, each one checksummed block. */
+final class Snapshots {
+  private static final String SUFFIX = ".snapshot";
+
+  private Snapshots() {}
+
+  static void write(Path folder, LogSnapshot snapshot, Disk disk) throws IOException {
+    Bytes head = Bytes.encoded(0, packer -> encodeHead(snapshot, packer));
+    ByteBuffer block = Blocks.toBlock(List.of(head, snapshot.state()));
+    disk.writeAtomically(fileOf(folder, snapshot.lastIndex()), block);
+  }
+
+  private static void encodeHead(LogSnapshot snapshot, org.msgpack.core.MessagePacker packer)
+      throws IOException {
+    packer.packLong(snapshot.lastIndex());
+    packer.packLong(snapshot.lastTerm());
+    snapshot.voters().encode(packer);
+  }
+
+  /** Returns the latest snapshot; the empty one if there is none. */
+  static LogSnapshot readLatest(Path folder) throws IOException {
+    List<Path> files = list(folder);
+    if (files.isEmpty()) {
+      return LogSnapshot.empty();
+    }
+    Path file = files.getLast();
+    Optional<List<Bytes>> parts = Blocks.read(ByteBuffer.wrap(Files.readAllBytes(file)), 0);
+    if (parts.isEmpty() || parts.get().size() != 2) {
+      throw DamageException.at(file, 0, "the checksum of the snapshot is wrong");
+    }
+    Bytes head = parts.get().get(0);
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(head.toArray())) {
+      unpacker.unpackInt();
+      return new LogSnapshot(
+          unpacker.unpackLong(),
+          unpacker.unpackLong(),
+          ReplicaSet.decode(unpacker),
+          parts.get().get(1));
+    }
+  }
+
+  static void deleteBefore(Path folder, long index) throws IOException {
+    Path kept = fileOf(folder, index);
+    for (Path file : list(folder)) {
+      if (file.compareTo(kept) < 0) {
+        Files.delete(file);
+      }
+    }
+  }
+
+  private static Path fileOf(Path folder, long index) {
+    return folder.resolve("%020d%s".formatted(index, SUFFIX));
+  }
+
+  private static List<Path> list(Path folder) throws IOException {
+    return Folders.listSorted(folder, SUFFIX);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/metrics/Metrics.java
@@ -0,0 +1,160 @@
+package io.hingehoist.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.function.DoubleSupplier;
+
+/** What a process counts. One registry a process, so that tests can run several. Thread-safe. */
+public final class Metrics {
+  private static final double[] SECONDS = {
+    0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30
+  };
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final Counter messages =
+      Counter.builder()
+          .name("hingehoist_messages_total")
+          .help("Messages between processes, by direction and type.")
+          .labelNames("direction", "type")
+          .register(registry);
+  private final Counter messageBytes =
+      Counter.builder()
+          .name("hingehoist_message_bytes_total")
+          .help("Bytes of messages between processes, by direction and type.")
+          .labelNames("direction", "type")
+          .register(registry);
+  private final Counter badFrames =
+      Counter.builder()
+          .name("hingehoist_bad_frames_total")
+          .help("Frames that were not a message; the connection was closed.")
+          .register(registry);
+  private final Counter outcomes =
+      Counter.builder()
+          .name("hingehoist_outcomes_total")
+          .help("Answers to callers, by kind of submission and outcome.")
+          .labelNames("kind", "outcome")
+          .register(registry);
+  private final Counter refusals =
+      Counter.builder()
+          .name("hingehoist_refusals_total")
+          .help("Submissions refused before they ran, by cause.")
+          .labelNames("cause")
+          .register(registry);
+  private final Histogram answerSeconds =
+      Histogram.builder()
+          .name("hingehoist_answer_seconds")
+          .help("Time from a submission to its answer, by kind.")
+          .labelNames("kind")
+          .classicOnly()
+          .classicUpperBounds(SECONDS)
+          .register(registry);
+  private final Histogram syncSeconds =
+      Histogram.builder()
+          .name("hingehoist_journal_sync_seconds")
+          .help("Time of one synced write of the journal.")
+          .classicOnly()
+          .classicUpperBounds(SECONDS)
+          .register(registry);
+  private final Counter journalBytes =
+      Counter.builder()
+          .name("hingehoist_journal_bytes_total")
+          .help("Bytes written to the journal.")
+          .register(registry);
+  private final Counter elections =
+      Counter.builder()
+          .name("hingehoist_role_changes_total")
+          .help("Changes of this replica's role or leader, by new role.")
+          .labelNames("role")
+          .register(registry);
+  private final Gauge term =
+      Gauge.builder()
+          .name("hingehoist_term")
+          .help("Current term of the replicated log.")
+          .register(registry);
+  private final Counter tasks =
+      Counter.builder()
+          .name("hingehoist_tasks_total")
+          .help("Tasks that the backend server ended, by state.")
+          .labelNames("state")
+          .register(registry);
+  private final Counter audits =
+      Counter.builder()
+          .name("hingehoist_settings_changes_total")
+          .help("Changes of settings applied, by result.")
+          .labelNames("result")
+          .register(registry);
+
+  private Metrics() {}
+
+  /** Creates an empty set of counters. */
+  public static Metrics create() {
+    return new Metrics();
+  }
+
+  /** Returns the registry that exporters read. */
+  public PrometheusRegistry registry() {
+    return registry;
+  }
+
+  /** Counts a message that was sent. */
+  public void noteSent(String type, int bytes) {
+    messages.labelValues("sent", type).inc();
+    messageBytes.labelValues("sent", type).inc(bytes);
+  }
+
+  /** Counts a message that was received. */
+  public void noteReceived(String type, int bytes) {
+    messages.labelValues("received", type).inc();
+    messageBytes.labelValues("received", type).inc(bytes);
+  }
+
+  /** Counts a frame that was not a message. */
+  public void noteBadFrame() {
+    badFrames.inc();
+  }
+
+  /** Counts an answer and the time that it took. */
+  public void noteAnswer(String kind, String outcome, double seconds) {
+    outcomes.labelValues(kind, outcome).inc();
+    answerSeconds.labelValues(kind).observe(seconds);
+  }
+
+  /** Counts a refusal. */
+  public void noteRefusal(String cause) {
+    refusals.labelValues(cause).inc();
+  }
+
+  /** Counts a synced write. */
+  public void noteSync(int bytes, double seconds) {
+    journalBytes.inc(bytes);
+    syncSeconds.observe(seconds);
+  }
+
+  /** Counts a change of role. */
+  public void noteRole(String role, long newTerm) {
+    elections.labelValues(role).inc();
+    term.set(newTerm);
+  }
+
+  /** Counts a task that ended. */
+  public void noteTask(String state) {
+    tasks.labelValues(state).inc();
+  }
+
+  /** Counts a change of settings. */
+  public void noteSettingsChange(String result) {
+    audits.labelValues(result).inc();
+  }
+
+  /** Adds a gauge that is read when it is asked for. */
+  public void addGauge(String name, String help, DoubleSupplier value) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .callback(callback -> callback.call(value.getAsDouble()))
+        .register(registry);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -0,0 +1,527 @@
+package io.hingehoist.quorum;
+
+import io.hingehoist.command.AdvanceClock;
+import io.hingehoist.command.ChangeAgentState;
+import io.hingehoist.command.Command;
+import io.hingehoist.command.CommandResult;
+import io.hingehoist.command.CompleteJob;
+import io.hingehoist.command.SettingsAccepted;
+import io.hingehoist.command.SettingsRefused;
+import io.hingehoist.control.ControlState;
+import io.hingehoist.control.Liveness;
+import io.hingehoist.journal.Disk;
+import io.hingehoist.journal.Journal;
+import io.hingehoist.message.AppendRequest;
+import io.hingehoist.message.AppendResponse;
+import io.hingehoist.message.EntryKind;
+import io.hingehoist.message.HeartbeatRequest;
+import io.hingehoist.message.Hello;
+import io.hingehoist.message.JoinRequest;
+import io.hingehoist.message.LogEntry;
+import io.hingehoist.message.MemberState;
+import io.hingehoist.message.Message;
+import io.hingehoist.message.ProposeRequest;
+import io.hingehoist.message.QueryRequest;
+import io.hingehoist.message.Role;
+import io.hingehoist.message.SnapshotAck;
+import io.hingehoist.message.SnapshotChunk;
+import io.hingehoist.message.VoteRequest;
+import io.hingehoist.message.VoteResponse;
+import io.hingehoist.metrics.Metrics;
+import io.hingehoist.replication.LogSnapshot;
+import io.hingehoist.replication.Replica;
+import io.hingehoist.replication.ReplicaEffect;
+import io.hingehoist.replication.ReplicaEvent;
+import io.hingehoist.replication.ReplicaRole;
+import io.hingehoist.replication.ReplicaTiming;
+import io.hingehoist.settings.ControlSection;
+import io.hingehoist.settings.NodeSection;
+import io.hingehoist.state.AgentRow;
+import io.hingehoist.wire.Addresses;
+import io.hingehoist.wire.FrameConnection;
+import io.hingehoist.wire.FrameHandler;
+import io.hingehoist.wire.FrameLink;
+import io.hingehoist.wire.FrameServer;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+import org.jboss.logging.Logger;
+
+/**
+ * A control replica: one control thread that owns the log, the applied state and the journal, and
+ * traffic threads that only hand messages over.
+ *
+ * <p>The thread works in batches: it takes every event that waits, lets the replica decide, writes
+ * and syncs the journal once, and then sends what promises something about the disk.
+ */
+public final class ControlNode implements AutoCloseable {
+  private static final Logger LOG = Logger.getLogger(ControlNode.class);
+  private static final int MAX_BATCH = 1_000;
+  private static final int MAX_QUEUED_FRAMES = 32_768;
+  private static final int PROTOCOL_VERSION = 1;
+  private static final long TICK_MS = 10;
+  private static final long CLOCK_PERIOD_MS = 5_000;
+  private static final long REPROPOSE_MS = 1_000;
+  private static final long MAX_SEGMENT_BYTES = 64L * 1024 * 1024;
+
+  private final ControlSection settings;
+  private final Journal journal;
+  private final Metrics metrics;
+  private final Consumer<Throwable> fatal;
+  private final Replica replica;
+  private final Liveness liveness;
+  private final ClientRequests requests;
+  private final Map<String, FrameLink> links = new HashMap<>();
+  private final BlockingQueue<ControlEvent> inbox = new LinkedBlockingQueue<>();
+  private final List<ReplicaEffect.SendDurable> afterSync = new ArrayList<>();
+  private final Map<Command, Long> proposedAtMs = new HashMap<>();
+  private final Thread controlThread;
+  private final Thread platformThread;
+  private final FrameServer server;
+  private ControlState state;
+  private long appliedIndex;
+  private long snapshotIndex;
+  private long tickedAtMs;
+  private long clockAtMs;
+  private volatile boolean closed;
+  private volatile boolean leading;
+
+  private ControlNode(
+      NodeSection node,
+      ControlSection settings,
+      Journal journal,
+      Metrics metrics,
+      ThreadFactory threads,
+      Consumer<Throwable> fatal)
+      throws IOException {
+    this.settings = settings;
+    this.journal = journal;
+    this.metrics = metrics;
+    this.fatal = fatal;
+    LogSnapshot snapshot = journal.recovered().snapshot();
+    this.state = ControlState.fromBytes(snapshot.state());
+    this.appliedIndex = snapshot.lastIndex();
+    this.snapshotIndex = snapshot.lastIndex();
+    this.replica =
+        Replica.create(
+            journal.identity().replicaId(),
+            settings.listenAddress(),
+            journal.identity().clusterId(),
+            node.controlAddresses(),
+            ReplicaTiming.of(settings.electionTimeoutMs(), settings.heartbeatMs()),
+            new Random(),
+            journal.recovered(),
+            nowMs());
+    this.liveness = Liveness.create(settings.memberTimeoutMs());
+    this.requests = new ClientRequests(() -> state, replica, settings.leaseMs());
+    Hello hello = new Hello(Role.CONTROL, replica.id(), 0, "", PROTOCOL_VERSION);
+    for (String address : node.controlAddresses()) {
+      if (!address.equals(settings.listenAddress())) {
+        links.put(
+            address,
+            FrameLink.open(
+                address,
+                settings.listenAddress(),
+                hello,
+                new ReplicaPeer(),
+                metrics,
+                threads,
+                MAX_QUEUED_FRAMES));
+      }
+    }
+    this.server =
+        FrameServer.open(
+            Addresses.firstNonEmpty(settings.bindAddress(), settings.listenAddress()),
+            Greeter::new,
+            metrics,
+            threads,
+            MAX_QUEUED_FRAMES);
+    this.controlThread = new Thread(this::run, "control");
+    this.platformThread = new Thread(this::readPlatformList, "platform-list");
+    this.platformThread.setDaemon(true);
+  }
+
+  /**
+   * Starts a replica on the state that its data folder holds.
+   *
+   * @param fatal gets the error after which this process must not go on
+   * @throws IOException if the data folder is damaged or the address can't be opened
+   */
+  public static ControlNode start(
+      NodeSection node,
+      ControlSection settings,
+      Disk disk,
+      Metrics metrics,
+      ThreadFactory threads,
+      Consumer<Throwable> fatal)
+      throws IOException {
+    Journal journal = Journal.open(Path.of(node.dataFolder()), disk, metrics);
+    ControlNode control = new ControlNode(node, settings, journal, metrics, threads, fatal);
+    control.controlThread.start();
+    if (!settings.platformList().isEmpty()) {
+      control.platformThread.start();
+    }
+    return control;
+  }
+
+  /** Returns whether this replica leads. */
+  public boolean isLeading() {
+    return leading;
+  }
+
+  private static long nowMs() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  private void readPlatformList() {
+    PlatformList list = new PlatformList(settings.platformList());
+    while (!closed) {
+      list.read(boxes -> inbox.add(new ControlEvent.Platform(boxes)));
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(settings.platformListMs()));
+    }
+  }
+
+  // The control thread.
+
+  private void run() {
+    try {
+      List<ControlEvent> batch = new ArrayList<>();
+      while (!closed) {
+        ControlEvent first = inbox.poll(TICK_MS, TimeUnit.MILLISECONDS);
+        if (first != null) {
+          batch.add(first);
+          inbox.drainTo(batch, MAX_BATCH);
+        }
+        handle(batch);
+        batch.clear();
+      }
+      journal.close();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (IOException | RuntimeException e) {
+      // After a failed sync nothing is known of the disk: going on could break a promise.
+      fatal.accept(e);
+    }
+  }
+
+  private void handle(List<ControlEvent> batch) throws IOException {
+    long now = nowMs();
+    for (ControlEvent event : batch) {
+      handle(event, now);
+    }
+    if (now - tickedAtMs >= TICK_MS) {
+      tickedAtMs = now;
+      step(new ReplicaEvent.Tick(), now);
+      requests.expire(now);
+      proposeDue(now);
+    }
+    carryOut(replica.flush(now));
+    syncJournal();
+    afterSync.forEach(send -> send(send.address(), send.message()));
+    afterSync.clear();
+    saveSnapshotIfDue();
+  }
+
+  private void handle(ControlEvent event, long now) throws IOException {
+    switch (event) {
+      case ControlEvent.FromReplica from -> step(new ReplicaEvent.Received(from.message()), now);
+      case ControlEvent.FromClient from -> handle(from.connection(), from.message(), now);
+      case ControlEvent.Platform platform -> handle(platform.boxes(), now);
+    }
+  }
+
+  private void handle(FrameConnection connection, Message message, long now) throws IOException {
+    switch (message) {
+      case ProposeRequest request -> {
+        if (ClientRequests.commandOf(connection, request).isPresent()) {
+          long token = requests.add(connection, request);
+          propose(token, request.command(), now);
+        }
+      }
+      case QueryRequest request ->
+          step(new ReplicaEvent.ReadRequested(requests.add(connection, request)), now);
+      case HeartbeatRequest request -> {
+        liveness.heard(request.role(), request.nodeId(), request.incarnation(), now);
+        noteDraining(request, now);
+        step(new ReplicaEvent.ReadRequested(requests.add(connection, request)), now);
+      }
+      default -> throw new IllegalStateException("not a request: " + message);
+    }
+  }
+
+  private void propose(long token, io.hingehoist.message.Bytes command, long now)
+      throws IOException {
+    step(new ReplicaEvent.Proposed(token, command, System.currentTimeMillis()), now);
+  }
+
+  /** Proposes a command of the leader's own, unless the same was proposed a moment ago. */
+  private void proposeOnce(Command command, long now) throws IOException {
+    Long earlier = proposedAtMs.get(command);
+    if (!replica.isLeader() || (earlier != null && now - earlier < REPROPOSE_MS)) {
+      return;
+    }
+    proposedAtMs.put(command, now);
+    propose(requests.addUnawaited(), command.toBytes(), now);
+  }
+
+  private void noteDraining(HeartbeatRequest request, long now) throws IOException {
+    boolean leavesLive =
+        request.draining()
+            && state
+                .agent(request.nodeId())
+                .filter(row -> row.info().incarnation() == request.incarnation())
+                .filter(row -> row.info().state() == MemberState.LIVE)
+                .isPresent();
+    if (leavesLive) {
+      proposeOnce(
+          new ChangeAgentState(
+              request.nodeId(),
+              request.incarnation(),
+              MemberState.DRAINING,
+              "plannedStop",
+              request.nodeId()),
+          now);
+    }
+  }
+
+  private void handle(PlatformList.Boxes boxes, long now) throws IOException {
+    for (PlatformList.Box box : boxes.boxes()) {
+      Optional<AgentRow> row = state.agent(String.valueOf(box.agentId()));
+      if (row.isPresent()) {
+        handle(box, row.get(), now);
+      }
+    }
+  }
+
+  private void handle(PlatformList.Box box, AgentRow row, long now) throws IOException {
+    MemberState current = row.info().state();
+    boolean undoesOwnDrain =
+        current == MemberState.DRAINING && row.stateSource().equals("platform");
+    if (box.isLeaving() && current == MemberState.LIVE) {
+      proposeOnce(platformChange(row, MemberState.DRAINING), now);
+    } else if (!box.isLeaving() && undoesOwnDrain) {
+      proposeOnce(platformChange(row, MemberState.LIVE), now);
+    }
+  }
+
+  private static Command platformChange(AgentRow row, MemberState newState) {
+    return new ChangeAgentState(
+        row.info().agentId(), row.info().incarnation(), newState, "platform", "platform");
+  }
+
+  private void proposeDue(long now) throws IOException {
+    if (!replica.isLeader()) {
+      return;
+    }
+    for (Command command : liveness.dueCommands(state, now)) {
+      proposeOnce(command, now);
+    }
+    if (now - clockAtMs >= CLOCK_PERIOD_MS) {
+      clockAtMs = now;
+      proposedAtMs.values().removeIf(at -> now - at > REPROPOSE_MS);
+      propose(requests.addUnawaited(), new AdvanceClock(settings.retentionMs()).toBytes(), now);
+    }
+  }
+
+  private void step(ReplicaEvent event, long now) throws IOException {
+    carryOut(replica.step(event, now));
+  }
+
+  private void carryOut(List<ReplicaEffect> effects) throws IOException {
+    for (ReplicaEffect effect : effects) {
+      carryOut(effect);
+    }
+  }
+
+  private void carryOut(ReplicaEffect effect) throws IOException {
+    switch (effect) {
+      case ReplicaEffect.Send send -> send(send.address(), send.message());
+      case ReplicaEffect.SendDurable send -> afterSync.add(send);
+      case ReplicaEffect.SaveVote vote -> journal.addVote(vote.term(), vote.votedFor());
+      case ReplicaEffect.Append append -> journal.addEntries(append.entries());
+      case ReplicaEffect.Truncate truncate -> journal.addTruncation(truncate.fromIndex());
+      case ReplicaEffect.Install install -> install(install.snapshot());
+      case ReplicaEffect.JoinCluster join -> journal.joinCluster(join.clusterId());
+      case ReplicaEffect.Apply apply -> apply(apply.entry());
+      case ReplicaEffect.Accepted accepted -> requests.accepted(accepted.token(), accepted.index());
+      case ReplicaEffect.Rejected rejected -> requests.rejected(rejected.token());
+      case ReplicaEffect.ReadReady ready -> requests.readReady(ready.token(), nowMs());
+      case ReplicaEffect.RoleChanged changed -> changeRole(changed);
+    }
+  }
+
+  private void send(String address, Message message) {
+    FrameLink link = links.get(address);
+    if (link != null) {
+      link.send(message);
+    }
+  }
+
+  private void apply(LogEntry entry) {
+    CommandResult result = state.apply(entry);
+    appliedIndex = entry.index();
+    noteSettingsChange(result);
+    if (entry.kind() == EntryKind.COMMAND) {
+      requests.applied(entry.index(), result);
+      completedJob(entry).ifPresent(requests::jobEnded);
+    }
+  }
+
+  private void noteSettingsChange(CommandResult result) {
+    switch (result) {
+      case SettingsAccepted accepted -> {
+        metrics.noteSettingsChange("accepted");
+        LOG.infof("event=settingsAccepted revision=%d", accepted.revision());
+      }
+      case SettingsRefused refused -> metrics.noteSettingsChange("refused");
+      default -> {}
+    }
+  }
+
+  private static Optional<Long> completedJob(LogEntry entry) {
+    try {
+      return Command.fromBytes(entry.body()) instanceof CompleteJob complete
+          ? Optional.of(complete.jobId())
+          : Optional.empty();
+    } catch (IOException e) {
+      throw new IllegalStateException("a committed command can't be read", e);
+    }
+  }
+
+  private void changeRole(ReplicaEffect.RoleChanged changed) {
+    LOG.infof(
+        "event=roleChanged role=%s term=%d leader=%s",
+        changed.role(), changed.term(), changed.leaderAddress());
+    metrics.noteRole(changed.role().name(), changed.term());
+    leading = changed.role() == ReplicaRole.LEADER;
+    if (leading) {
+      liveness.reset(nowMs());
+      proposedAtMs.clear();
+    } else {
+      requests.leadershipEnded();
+    }
+  }
+
+  private void install(LogSnapshot snapshot) throws IOException {
+    journal.saveSnapshot(snapshot, replica.term(), replica.votedFor(), List.of());
+    state = ControlState.fromBytes(snapshot.state());
+    appliedIndex = snapshot.lastIndex();
+    snapshotIndex = snapshot.lastIndex();
+    LOG.infof("event=snapshotInstalled index=%d", snapshot.lastIndex());
+  }
+
+  private void syncJournal() throws IOException {
+    while (journal.hasUnsynced()) {
+      long upTo = replica.lastIndex();
+      journal.sync();
+      step(new ReplicaEvent.Persisted(upTo), nowMs());
+    }
+  }
+
+  private void saveSnapshotIfDue() throws IOException {
+    boolean due =
+        appliedIndex - snapshotIndex >= settings.snapshotEntries()
+            || (journal.segmentBytes() > MAX_SEGMENT_BYTES && appliedIndex > snapshotIndex);
+    if (!due) {
+      return;
+    }
+    LogSnapshot snapshot =
+        new LogSnapshot(
+            appliedIndex,
+            replica.termAt(appliedIndex),
+            replica.votersAt(appliedIndex),
+            state.toBytes());
+    journal.saveSnapshot(
+        snapshot, replica.term(), replica.votedFor(), replica.entriesAfter(appliedIndex));
+    snapshotIndex = appliedIndex;
+    step(new ReplicaEvent.SnapshotSaved(snapshot), nowMs());
+  }
+
+  // Traffic threads.
+
+  private static boolean isFromReplica(Message message) {
+    return switch (message) {
+      case VoteRequest m -> true;
+      case VoteResponse m -> true;
+      case AppendRequest m -> true;
+      case AppendResponse m -> true;
+      case SnapshotChunk m -> true;
+      case SnapshotAck m -> true;
+      case JoinRequest m -> true;
+      default -> false;
+    };
+  }
+
+  private static boolean isFromClient(Message message) {
+    return message instanceof ProposeRequest
+        || message instanceof QueryRequest
+        || message instanceof HeartbeatRequest;
+  }
+
+  /** Takes what comes back on a connection that this replica opened. */
+  private final class ReplicaPeer implements FrameHandler {
+    @Override
+    public void onMessage(FrameConnection connection, Message message) {
+      connection.close();
+    }
+
+    @Override
+    public void onClosed(FrameConnection connection) {}
+  }
+
+  /** Takes what comes on a connection that others opened; the first message says who they are. */
+  private final class Greeter implements FrameHandler {
+    private Hello hello;
+
+    @Override
+    public void onMessage(FrameConnection connection, Message message) {
+      if (hello == null) {
+        greet(connection, message);
+      } else if (hello.role() == Role.CONTROL && isFromReplica(message)) {
+        inbox.add(new ControlEvent.FromReplica(message));
+      } else if (hello.role() != Role.CONTROL && isFromClient(message)) {
+        inbox.add(new ControlEvent.FromClient(connection, message));
+      } else {
+        metrics.noteBadFrame();
+        connection.close();
+      }
+    }
+
+    private void greet(FrameConnection connection, Message message) {
+      if (message instanceof Hello greeting && greeting.protocolVersion() == PROTOCOL_VERSION) {
+        hello = greeting;
+      } else {
+        metrics.noteBadFrame();
+        connection.close();
+      }
+    }
+
+    @Override
+    public void onClosed(FrameConnection connection) {}
+  }
+
+  /** Stops the replica. What is not synced was not acknowledged to anyone. */
+  @Override
+  public void close() {
+    closed = true;
+    server.close();
+    links.values().forEach(FrameLink::close);
+    LockSupport.unpark(platformThread);
+    try {
+      controlThread.join(TimeUnit.SECONDS.toMillis(5));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameServer.java
@@ -0,0 +1,79 @@
+package io.hingehoist.wire;
+
+import io.hingehoist.metrics.Metrics;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadFactory;
+import java.util.function.Supplier;
+
+/** Takes connections on one address. Thread-safe. */
+public final class FrameServer implements AutoCloseable {
+  private static final int BACKLOG = 1_024;
+
+  private final ServerSocket listener;
+  private final Supplier<FrameHandler> handlers;
+  private final Metrics metrics;
+  private final ThreadFactory threads;
+  private final int maxQueuedFrames;
+  private final Set<FrameConnection> connections = ConcurrentHashMap.newKeySet();
+
+  private FrameServer(
+      ServerSocket listener,
+      Supplier<FrameHandler> handlers,
+      Metrics metrics,
+      ThreadFactory threads,
+      int maxQueuedFrames) {
+    this.listener = listener;
+    this.handlers = handlers;
+    this.metrics = metrics;
+    this.threads = threads;
+    this.maxQueuedFrames = maxQueuedFrames;
+  }
+
+  /**
+   * Opens a server.
+   *
+   * @param handlers makes the handler of each new connection
+   */
+  public static FrameServer open(
+      String address,
+      Supplier<FrameHandler> handlers,
+      Metrics metrics,
+      ThreadFactory threads,
+      int maxQueuedFrames)
+      throws IOException {
+    ServerSocket listener = new ServerSocket();
+    listener.setReuseAddress(true);
+    listener.bind(Addresses.toSocketAddress(address), BACKLOG);
+    FrameServer server = new FrameServer(listener, handlers, metrics, threads, maxQueuedFrames);
+    threads.newThread(server::acceptConnections).start();
+    return server;
+  }
+
+  private void acceptConnections() {
+    while (!listener.isClosed()) {
+      try {
+        Socket socket = listener.accept();
+        connections.removeIf(connection -> !connection.isOpen());
+        connections.add(
+            FrameConnection.start(socket, handlers.get(), metrics, threads, maxQueuedFrames));
+      } catch (IOException e) {
+        // The listener was closed, or one connection broke before it began.
+      }
+    }
+  }
+
+  /** Stops taking connections and closes the open ones. */
+  @Override
+  public void close() {
+    try {
+      listener.close();
+    } catch (IOException e) {
+      // Nothing is left to do for a socket that can't be closed.
+    }
+    connections.forEach(FrameConnection::close);
+  }
+}
--- /dev/null
+++ b/schema/src/main/java/io/hingehoist/command/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The commands of the replicated log, their results, and the reads of its applied state.
+ *
+ * <p>All types are generated from {@code schema/src/main/avro}; begin with {@link
+ * io.hingehoist.command.Command}.
+ */
+package io.hingehoist.command;
--- /dev/null
+++ b/schema/src/main/java/io/hingehoist/message/Bytes.java
@@ -0,0 +1,119 @@
+package io.hingehoist.message;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Arrays;
+import java.util.HexFormat;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** An immutable sequence of bytes that compares by content. Thread-safe. */
+public final class Bytes {
+  private static final Bytes EMPTY = new Bytes(new byte[0]);
+
+  private final byte[] content;
+
+  private Bytes(byte[] content) {
+    this.content = content;
+  }
+
+  /** Returns the empty sequence. */
+  public static Bytes empty() {
+    return EMPTY;
+  }
+
+  /** Returns a copy of an array. */
+  public static Bytes copyOf(byte[] array) {
+    return new Bytes(array.clone());
+  }
+
+  /** Returns a copy of a part of an array. */
+  public static Bytes copyOf(byte[] array, int from, int to) {
+    return new Bytes(Arrays.copyOfRange(array, from, to));
+  }
+
+  /** Writes a value of a message family. */
+  @FunctionalInterface
+  public interface Encoder {
+    /** Writes the fields. */
+    void encode(MessagePacker packer) throws IOException;
+  }
+
+  /** Returns a tag and the fields that an encoder writes. */
+  public static Bytes encoded(int tag, Encoder encoder) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packInt(tag);
+      encoder.encode(packer);
+      return new Bytes(packer.toByteArray());
+    } catch (IOException e) {
+      throw new UncheckedIOException("writing to memory cannot fail", e);
+    }
+  }
+
+  /** Returns the number of bytes. */
+  public int size() {
+    return content.length;
+  }
+
+  /** Returns whether there are no bytes. */
+  public boolean isEmpty() {
+    return content.length == 0;
+  }
+
+  /** Returns a copy as an array. */
+  public byte[] toArray() {
+    return content.clone();
+  }
+
+  /** Returns the array itself, for readers in this module that do not change it. */
+  byte[] unsafeArray() {
+    return content;
+  }
+
+  /** Writes the bytes to a stream without a copy. */
+  public void writeTo(java.io.OutputStream out) throws IOException {
+    out.write(content);
+  }
+
+  /** Returns the bytes as a read-only buffer, without a copy. */
+  public java.nio.ByteBuffer asByteBuffer() {
+    return java.nio.ByteBuffer.wrap(content).asReadOnlyBuffer();
+  }
+
+  /** Returns the part from one position to another. */
+  public Bytes slice(int from, int to) {
+    return copyOf(content, from, to);
+  }
+
+  /** Writes the bytes as a MessagePack binary. */
+  public void encode(MessagePacker packer) throws IOException {
+    packer.packBinaryHeader(content.length);
+    packer.writePayload(content);
+  }
+
+  /** Reads a MessagePack binary. */
+  public static Bytes decode(MessageUnpacker unpacker) throws IOException {
+    int size = unpacker.unpackBinaryHeader();
+    return new Bytes(Decoding.payload(unpacker, size));
+  }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Bytes bytes && Arrays.equals(content, bytes.content);
+  }
+
+  @Override
+  public int hashCode() {
+    return Arrays.hashCode(content);
+  }
+
+  /** Returns the bytes in hexadecimal, cut after 32 of them. */
+  @Override
+  public String toString() {
+    int shown = Math.min(content.length, 32);
+    String hex = HexFormat.of().formatHex(content, 0, shown);
+    return shown == content.length ? hex : hex + "…(" + content.length + " bytes)";
+  }
+}
--- /dev/null
+++ b/schema/src/main/java/io/hingehoist/state/package-info.java
@@ -0,0 +1,8 @@
+/**
+ * The rows of the applied state of the replicated log, as they stand in snapshots.
+ *
+ * <p>All types are generated from {@code schema/src/main/avro}; begin with {@link
+ * io.hingehoist.state.StateRow}. The tables that hold the rows are in {@code
+ * io.hingehoist.control}.
+ */
+package io.hingehoist.state;
