Scenarios over real processes, with the invariants that follow each of them

Cause: the played orders show the decisions; nothing showed the processes.

After each one the starts logged by the stand-in backend servers, the callers' answers and the revisions seen at /health/ready are checked.

The steps now ask again, and wait for another leader.

--- a/benchmark/src/main/java/io/hingehoist/cluster/ClusterShape.java
+++ b/benchmark/src/main/java/io/hingehoist/cluster/ClusterShape.java
@@ -1,5 +1,7 @@
 package io.hingehoist.cluster;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -10,24 +12,40 @@
  * @param service the service that the backend servers offer
  * @param slots the slots of each agent
  * @param controlSettings values that differ from the defaults of the control section
+ * @param serverFlags flags of the virtual machines of servers
  */
 public record ClusterShape(
-    int servers, int agents, String service, int slots, Map<String, String> controlSettings) {
+    int servers,
+    int agents,
+    String service,
+    int slots,
+    Map<String, String> controlSettings,
+    List<String> serverFlags) {
+  private static final List<String> SERVER_FLAGS =
+      List.of("-Xmx512m", "-Xss512k", "-XX:+UseSerialGC");
 
-  /** Copies the settings. */
+  /** Copies the settings and flags. */
   public ClusterShape {
     controlSettings = Map.copyOf(controlSettings);
+    serverFlags = List.copyOf(serverFlags);
   }
 
   /** Returns a shape with the default settings. */
   public static ClusterShape of(int servers, int agents, String service, int slots) {
-    return new ClusterShape(servers, agents, service, slots, Map.of());
+    return new ClusterShape(servers, agents, service, slots, Map.of(), SERVER_FLAGS);
+  }
+
+  /** Returns this shape for processes that live too short to be worth optimizing. */
+  public ClusterShape shortLived() {
+    List<String> flags = new ArrayList<>(serverFlags);
+    flags.add("-XX:TieredStopAtLevel=1");
+    return new ClusterShape(servers, agents, service, slots, controlSettings, flags);
   }
 
   /** Returns this shape with one more value of the control section. */
   public ClusterShape withControl(String field, String value) {
     Map<String, String> settings = new java.util.HashMap<>(controlSettings);
     settings.put(field, value);
-    return new ClusterShape(servers, agents, service, slots, settings);
+    return new ClusterShape(servers, agents, service, slots, settings, serverFlags);
   }
 }
--- a/benchmark/src/main/java/io/hingehoist/cluster/LocalCluster.java
+++ b/benchmark/src/main/java/io/hingehoist/cluster/LocalCluster.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Servers, agents and stand-in backend servers on loopback addresses, each address with a relay in
@@ -113,7 +114,7 @@
                 serverIp(i),
                 HTTP_PORT));
     relays.put(name, Relay.open(serverIp(i), CONTROL_PORT, serverIp(i), CONTROL_BIND_PORT));
-    processes.put(name, process(name, home, NodeProcess.serverFlags()));
+    processes.put(name, process(name, home, shape.serverFlags()));
   }
 
   private void addAgent(int i) throws IOException {
@@ -283,6 +284,11 @@
     return backends.get(agentName);
   }
 
+  /** Returns every backend server. */
+  public Stream<StandInBackend> backends() {
+    return backends.values().stream();
+  }
+
   /** Returns the shape. */
   public ClusterShape shape() {
     return shape;
--- a/benchmark/src/main/java/io/hingehoist/cluster/NodeProcess.java
+++ b/benchmark/src/main/java/io/hingehoist/cluster/NodeProcess.java
@@ -9,9 +9,6 @@
 
 /** One process of a local cluster. Not thread-safe. */
 public final class NodeProcess {
-  private static final List<String> SERVER_FLAGS =
-      List.of("-Xmx512m", "-Xss512k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=4");
-
   private final String name;
   private final Path folder;
   private final List<String> command;
@@ -30,11 +27,6 @@
     return new NodeProcess(name, folder, command);
   }
 
-  /** Returns the flags that a server is started with on a small machine. */
-  static List<String> serverFlags() {
-    return SERVER_FLAGS;
-  }
-
   /** Returns the name of the process. */
   public String name() {
     return name;
--- a/benchmark/src/main/java/io/hingehoist/standin/StandInBackend.java
+++ b/benchmark/src/main/java/io/hingehoist/standin/StandInBackend.java
@@ -10,6 +10,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -26,6 +28,7 @@
   private final String name;
   private final AtomicInteger running = new AtomicInteger();
   private final AtomicInteger mostRunning = new AtomicInteger();
+  private final Queue<String> endedPayloads = new ConcurrentLinkedQueue<>();
   private volatile double slowness = 1;
 
   private StandInBackend(HttpServer server, FileChannel log, String name) {
@@ -53,6 +56,11 @@
     slowness = factor;
   }
 
+  /** Returns the number of answers sent to payloads that name a job. */
+  public long ended(String job) {
+    return endedPayloads.stream().filter(payload -> payload.contains(" " + job + "/")).count();
+  }
+
   /** Returns the most tasks that ran at once. */
   public int mostRunning() {
     return mostRunning.get();
@@ -72,6 +80,7 @@
     exchange.sendResponseHeaders(status, body.length);
     exchange.getResponseBody().write(body);
     exchange.close();
+    endedPayloads.add(payload);
   }
 
   private synchronized void writeLog(String task, String payload) throws IOException {
--- a/daemon/src/main/java/io/hingehoist/entry/EntryNode.java
+++ b/daemon/src/main/java/io/hingehoist/entry/EntryNode.java
@@ -239,6 +239,11 @@
     return ready;
   }
 
+  /** Returns the revision of the settings in force here. */
+  public long settingsRevision() {
+    return settingsView.revision();
+  }
+
   /** Returns the settings of this process. */
   public EntrySection settings() {
     return settings;
--- a/daemon/src/main/java/io/hingehoist/entry/HealthResource.java
+++ b/daemon/src/main/java/io/hingehoist/entry/HealthResource.java
@@ -25,12 +25,13 @@
     return "live\n";
   }
 
-  /** Says whether callers should be sent here. */
+  /** Says whether callers should be sent here, and which settings are in force if so. */
   @GET
   @Path("/ready")
   public Response ready() {
+    long revision = entry.settingsRevision();
     return entry.isReady()
-        ? Response.ok("ready\n").build()
+        ? Response.ok("ready, settings revision " + revision + "\n").build()
         : Response.status(Response.Status.SERVICE_UNAVAILABLE).entity("not ready\n").build();
   }
 }
--- /dev/null
+++ b/daemon/src/test/java/io/hingehoist/journal/JournalTest.java
@@ -0,0 +1,239 @@
+package io.hingehoist.journal;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import io.hingehoist.message.Bytes;
+import io.hingehoist.message.EntryKind;
+import io.hingehoist.message.LogEntry;
+import io.hingehoist.message.ReplicaSet;
+import io.hingehoist.metrics.Metrics;
+import io.hingehoist.replication.DurableState;
+import io.hingehoist.replication.LogSnapshot;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class JournalTest {
+  private Path folder;
+
+  @BeforeMethod
+  public void createFolder() throws IOException {
+    folder = Files.createTempDirectory("journal");
+  }
+
+  private Journal open() throws IOException {
+    return Journal.open(folder, Disk.real(), Metrics.create());
+  }
+
+  private static LogEntry entry(long index) {
+    Bytes body = Bytes.copyOf(new byte[] {(byte) index, 1, 2, 3});
+    return new LogEntry(1, index, EntryKind.COMMAND, 5, body);
+  }
+
+  private void writeEntries(int count) throws IOException {
+    try (Journal journal = open()) {
+      for (int i = 1; i <= count; i++) {
+        journal.addEntries(List.of(entry(i)));
+        journal.sync();
+      }
+    }
+  }
+
+  private DurableState recovered() throws IOException {
+    try (Journal journal = open()) {
+      return journal.recovered();
+    }
+  }
+
+  private Path segment() throws IOException {
+    return Folders.listSorted(folder, ".journal").getLast();
+  }
+
+  @Test
+  public void whatWasSyncedIsReadBack() throws IOException {
+    try (Journal journal = open()) {
+      journal.addVote(3, "candidate");
+      journal.addEntries(List.of(entry(1), entry(2), entry(3)));
+      journal.addTruncation(3);
+      journal.sync();
+    }
+    DurableState state = recovered();
+    assertEquals(state.term(), 3);
+    assertEquals(state.votedFor(), "candidate");
+    assertEquals(state.entries(), List.of(entry(1), entry(2)));
+  }
+
+  @Test
+  public void theIdentityLivesAndDiesWithTheDisk() throws IOException {
+    Identity first = open().identity();
+    assertEquals(open().identity(), first);
+    folder = Files.createTempDirectory("journal");
+    assertNotEquals(open().identity(), first);
+  }
+
+  @Test
+  public void aTornTailIsCutBack() throws IOException {
+    writeEntries(3);
+    long whole = Files.size(segment());
+    for (int cut = 1; cut < 20; cut++) {
+      try (FileChannel channel = FileChannel.open(segment(), StandardOpenOption.WRITE)) {
+        channel.truncate(whole - cut);
+      }
+      assertEquals(recovered().entries(), List.of(entry(1), entry(2)));
+      writeThirdAgain();
+    }
+  }
+
+  private void writeThirdAgain() throws IOException {
+    try (Journal journal = open()) {
+      journal.addEntries(List.of(entry(3)));
+      journal.sync();
+    }
+    assertEquals(recovered().entries().size(), 3);
+  }
+
+  @Test
+  public void damageBeforeTheTailStopsTheStartAndNamesFileAndOffset() throws IOException {
+    writeEntries(3);
+    ByteBuffer content = ByteBuffer.wrap(Files.readAllBytes(segment()));
+    int secondBlock = Blocks.sizeAt(content, 0);
+    content.put(secondBlock + 12, (byte) ~content.get(secondBlock + 12));
+    Files.write(segment(), content.array());
+    String message = expectThrows(DamageException.class, this::recovered).getMessage();
+    assertTrue(message.contains(segment().toString()), message);
+    assertTrue(message.contains("offset " + secondBlock), message);
+  }
+
+  @Test
+  public void aDamagedFirstBlockIsNotTakenForATornTail() throws IOException {
+    writeEntries(0);
+    byte[] content = Files.readAllBytes(segment());
+    content[content.length - 1]++;
+    Files.write(segment(), content);
+    assertThrows(DamageException.class, this::recovered);
+  }
+
+  @Test
+  public void anIdentityWithoutSegmentsStopsTheStart() throws IOException {
+    writeEntries(1);
+    Files.delete(segment());
+    assertThrows(DamageException.class, this::recovered);
+  }
+
+  @Test
+  public void aSnapshotStandsForWhatCameBefore() throws IOException {
+    LogSnapshot snapshot =
+        new LogSnapshot(2, 1, new ReplicaSet(List.of()), Bytes.copyOf(new byte[] {9}));
+    try (Journal journal = open()) {
+      journal.addEntries(List.of(entry(1), entry(2), entry(3)));
+      journal.sync();
+      journal.saveSnapshot(snapshot, 4, "v", List.of(entry(3)));
+      journal.addEntries(List.of(entry(4)));
+      journal.sync();
+    }
+    DurableState state = recovered();
+    assertEquals(state.snapshot(), snapshot);
+    assertEquals(state.entries(), List.of(entry(3), entry(4)));
+    assertEquals(state.term(), 4);
+    assertEquals(Folders.listSorted(folder, ".journal").size(), 1);
+  }
+
+  @Test
+  public void aDamagedSnapshotStopsTheStart() throws IOException {
+    try (Journal journal = open()) {
+      journal.addEntries(List.of(entry(1)));
+      journal.sync();
+      LogSnapshot snapshot =
+          new LogSnapshot(1, 1, new ReplicaSet(List.of()), Bytes.copyOf(new byte[100]));
+      journal.saveSnapshot(snapshot, 1, "", List.of());
+    }
+    Path file = Folders.listSorted(folder, ".snapshot").getLast();
+    byte[] content = Files.readAllBytes(file);
+    content[50]++;
+    Files.write(file, content);
+    assertThrows(DamageException.class, this::recovered);
+  }
+
+  @Test
+  public void aCrashBetweenSnapshotAndNewSegmentLosesNothing() throws IOException {
+    writeEntries(3);
+    LogSnapshot snapshot =
+        new LogSnapshot(2, 1, new ReplicaSet(List.of()), Bytes.copyOf(new byte[] {9}));
+    Snapshots.write(folder, snapshot, Disk.real());
+    assertEquals(recovered().entries(), List.of(entry(3)));
+  }
+
+  /** A disk that fails from a moment on, as a full or broken one does. */
+  private static final class FailingDisk implements Disk {
+    private boolean full;
+    private boolean syncFails;
+
+    @Override
+    public SyncedFile openForAppend(Path path) throws IOException {
+      SyncedFile file = Disk.super.openForAppend(path);
+      return new SyncedFile() {
+        @Override
+        public void append(ByteBuffer bytes) throws IOException {
+          if (full) {
+            bytes.limit(bytes.remaining() / 2);
+            file.append(bytes);
+            throw new IOException("No space left on device");
+          }
+          file.append(bytes);
+        }
+
+        @Override
+        public void sync() throws IOException {
+          if (syncFails) {
+            throw new IOException("Input/output error");
+          }
+          file.sync();
+        }
+
+        @Override
+        public void close() throws IOException {
+          file.close();
+        }
+      };
+    }
+  }
+
+  @Test
+  public void aFullDiskIsAnErrorAndWhatWasSyncedBeforeStands() throws IOException {
+    FailingDisk disk = new FailingDisk();
+    Journal journal = Journal.open(folder, disk, Metrics.create());
+    journal.addEntries(List.of(entry(1)));
+    journal.sync();
+    disk.full = true;
+    journal.addEntries(List.of(entry(2)));
+    assertThrows(IOException.class, journal::sync);
+    assertEquals(recovered().entries(), List.of(entry(1)));
+  }
+
+  @Test
+  public void aFailingSyncIsAnError() throws IOException {
+    FailingDisk disk = new FailingDisk();
+    Journal journal = Journal.open(folder, disk, Metrics.create());
+    disk.syncFails = true;
+    journal.addEntries(List.of(entry(1)));
+    assertThrows(IOException.class, journal::sync);
+  }
+
+  @Test
+  public void foundingTwiceIsRefused() throws IOException {
+    Journal.found(folder, Disk.real(), "c", "127.0.0.1:1", 1);
+    assertThrows(
+        IOException.class, () -> Journal.found(folder, Disk.real(), "d", "127.0.0.1:1", 1));
+    assertEquals(open().identity().clusterId(), "c");
+  }
+}
--- /dev/null
+++ b/scenarios/src/test/java/io/hingehoist/scenario/CallerSteps.java
@@ -0,0 +1,177 @@
+package io.hingehoist.scenario;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import io.hingehoist.cluster.LocalCluster;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** Steps about callers. */
+public final class CallerSteps {
+  private final Deployment deployment = Deployments.current();
+
+  @When("job {word} of {int} tasks of {int} ms is submitted at server {int}")
+  public void submit(String id, int tasks, int millis, int server) {
+    deployment.post(id, server, "/v1/jobs", deployment.job(id, tasks, millis));
+  }
+
+  @When("{int} jobs named {word} of {int} tasks of {int} ms are submitted at every server")
+  public void submitMany(int jobs, String name, int tasks, int millis) {
+    for (int i = 0; i < jobs; i++) {
+      // Later jobs are shorter, so that answers overtake each other.
+      int shorter = Math.max(1, millis - i * millis / jobs);
+      submit(name + i, tasks, shorter, i % 3 + 1);
+    }
+  }
+
+  @When("job {word} is resubmitted at server {int}")
+  public void resubmit(String id, int server) {
+    deployment.post(id, server, "/v1/jobs", deployment.submissions.get(id));
+  }
+
+  @When("job {word} is resubmitted at a ready server")
+  public void resubmit(String id) {
+    resubmit(id, deployment.anyReadyServer());
+  }
+
+  @When("job {word} is resubmitted with another payload at server {int}")
+  public void resubmitOther(String id, int server) {
+    ObjectNode body = deployment.submissions.get(id).deepCopy();
+    body.withArray("tasks").addObject().put("payload", "ms=1 intruder/0");
+    deployment.post("other-" + id, server, "/v1/jobs", body);
+  }
+
+  @When(
+      "job {word} of {int} tasks of {int} ms and a deadline of {int} ms is submitted at server {int}")
+  public void submitWithDeadline(String id, int tasks, int millis, int deadlineMs, int server) {
+    ObjectNode body = deployment.job(id, tasks, millis);
+    body.put("deadlineAtMs", System.currentTimeMillis() + deadlineMs);
+    deployment.post(id, server, "/v1/jobs", body);
+  }
+
+  @When("job {word} submitted {int} ms ago is submitted at server {int}")
+  public void submitOld(String id, int ageMs, int server) {
+    ObjectNode body = deployment.job(id, 1, 1);
+    body.put("submittedAtMs", System.currentTimeMillis() - ageMs);
+    deployment.post(id, server, "/v1/jobs", body);
+  }
+
+  @When("request {word} of {int} ms that must not be repeated is sent to server {int}")
+  public void requestOnce(String id, int millis, int server) {
+    ObjectNode body =
+        deployment.submissions.computeIfAbsent(
+            id,
+            name ->
+                deployment
+                    .submission(name)
+                    .put("repeatable", false)
+                    .put("payload", Deployment.payload(name, 0, millis)));
+    deployment.post(id, server, "/v1/requests", body);
+  }
+
+  @When(
+      "request {word} that the backend server fails and must not be repeated is sent to server {int}")
+  public void failingRequestOnce(String id, int server) {
+    ObjectNode body = deployment.submission(id).put("repeatable", false);
+    body.put("payload", "fail " + id + "/0");
+    deployment.submissions.put(id, body);
+    deployment.post(id, server, "/v1/requests", body);
+  }
+
+  @When("{int} repeatable requests of {int} ms are sent to server {int}")
+  public void repeatable(int count, int millis, int server) {
+    for (int i = 0; i < count; i++) {
+      ObjectNode body = deployment.submission("repeatable").put("repeatable", true);
+      body.put("payload", "ms=" + millis + " repeatable-" + i);
+      deployment.post("repeatable-" + i, server, "/v1/requests", body);
+    }
+  }
+
+  @When("job {word} has been admitted")
+  public void awaitAdmitted(String id) {
+    LocalCluster.await(
+        id + " is admitted",
+        () -> !deployment.state(id).path("outcome").asText("notFound").equals("notFound"));
+  }
+
+  @When("at least {int} tasks of job {word} have started")
+  public void awaitStarts(int count, String id) {
+    LocalCluster.await(
+        count + " tasks of " + id + " have started", () -> deployment.starts(id) >= count);
+  }
+
+  @When("every result of job {word} is there")
+  public void awaitResults(String id) {
+    int tasks = deployment.submissions.get(id).path("tasks").size();
+    LocalCluster.await(
+        "every result of " + id + " is there",
+        () -> deployment.cluster.backends().mapToLong(b -> b.ended(id)).sum() >= tasks);
+  }
+
+  @When("job {word} has ended")
+  public void awaitEnded(String id) {
+    LocalCluster.await(
+        id + " has ended",
+        () ->
+            List.of("complete", "failed").contains(deployment.state(id).path("outcome").asText()));
+  }
+
+  @Then("^job (\\S+) ends (complete|failed|complete or failed)$")
+  public void ends(String id, String how) {
+    awaitEnded(id);
+    String outcome = deployment.state(id).path("outcome").asText();
+    assertTrue(List.of(how.split(" or ")).contains(outcome), outcome);
+  }
+
+  @Then("every caller has an answer")
+  public void awaitAnswers() {
+    CompletableFuture.allOf(deployment.underway.toArray(new CompletableFuture<?>[0])).join();
+  }
+
+  @Then("^every answer to (\\S+) is (complete|failed|refused)$")
+  public void everyAnswer(String id, String outcome) {
+    awaitAnswers();
+    List<Answered> answers = deployment.answers.stream().filter(a -> a.id().equals(id)).toList();
+    assertTrue(!answers.isEmpty());
+    answers.forEach(a -> assertEquals(a.outcome(), outcome, a.toString()));
+  }
+
+  @Then("^every answer is complete$")
+  public void everyAnswerComplete() {
+    awaitAnswers();
+    List.copyOf(deployment.answers)
+        .forEach(a -> assertEquals(a.outcome(), "complete", a.toString()));
+  }
+
+  @Then("the answer to {word} has the cause {word}")
+  public void cause(String id, String cause) {
+    awaitAnswers();
+    Answered answer =
+        deployment.answers.stream().filter(a -> a.id().equals(id)).findFirst().orElseThrow();
+    assertEquals(answer.body().path("cause").asText(), cause, answer.toString());
+  }
+
+  @Then("the answer to {word} says when to come back")
+  public void retryAfter(String id) {
+    Answered answer =
+        deployment.answers.stream().filter(a -> a.id().equals(id)).findFirst().orElseThrow();
+    assertTrue(answer.body().path("retryAfterMs").asLong() > 0, answer.toString());
+  }
+
+  @Then("job {word} has started {int} tasks")
+  public void started(String id, int count) {
+    assertEquals(deployment.starts(id), count);
+  }
+
+  @Then("no task of job {word} starts at {word}")
+  public void noStartAt(String id, String agent) throws Exception {
+    boolean any =
+        deployment.cluster.startLines().stream()
+            .anyMatch(l -> l.contains("\t" + agent + "\t") && l.contains(" " + id + "/"));
+    assertTrue(!any, id + " started at " + agent);
+  }
+}
--- /dev/null
+++ b/scenarios/src/test/java/io/hingehoist/scenario/Deployment.java
@@ -0,0 +1,185 @@
+package io.hingehoist.scenario;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.hingehoist.cluster.ClusterShape;
+import io.hingehoist.cluster.LocalCluster;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** The cluster of one scenario, its callers and what they saw. */
+final class Deployment {
+  static final String SERVICE = "porting";
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final Duration TIMEOUT = Duration.ofSeconds(90);
+  private static final int SLOTS = 8;
+  private static final int SERVERS = 3;
+
+  final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(5)).build();
+  final List<Answered> answers = Collections.synchronizedList(new ArrayList<>());
+  final List<CompletableFuture<Answered>> underway = new ArrayList<>();
+  final Map<String, ObjectNode> submissions = new HashMap<>();
+  final List<Long> acceptedRevisions = Collections.synchronizedList(new ArrayList<>());
+  Path folder;
+  Path platformList;
+  LocalCluster cluster;
+  RevisionWatch watch;
+
+  void create(int agents, Map<String, String> control) throws IOException {
+    folder = Files.createTempDirectory("scenario");
+    platformList = folder.resolve("boxes.json");
+    Files.writeString(platformList, "{\"boxes\": []}");
+    ClusterShape shape =
+        ClusterShape.of(SERVERS, agents, SERVICE, SLOTS)
+            .shortLived()
+            .withControl("electionTimeoutMs", "400")
+            .withControl("heartbeatMs", "60")
+            .withControl("leaseMs", "1500")
+            .withControl("memberTimeoutMs", "2000")
+            .withControl("platformList", platformList.toString())
+            .withControl("platformListMs", "200");
+    for (Map.Entry<String, String> field : control.entrySet()) {
+      shape = shape.withControl(field.getKey(), field.getValue());
+    }
+    cluster = LocalCluster.create(folder, shape);
+    cluster.start();
+    watch = RevisionWatch.start(this);
+  }
+
+  static ObjectNode newObject() {
+    return JSON.createObjectNode();
+  }
+
+  /** Returns the payload of a task; every task of every job has its own. */
+  static String payload(String job, int index, int millis) {
+    return "ms=" + millis + " " + job + "/" + index;
+  }
+
+  ObjectNode job(String id, int tasks, int millis) {
+    ObjectNode body = submission(id);
+    var list = body.putArray("tasks");
+    for (int i = 0; i < tasks; i++) {
+      list.addObject().put("payload", payload(id, i, millis));
+    }
+    submissions.put(id, body);
+    return body;
+  }
+
+  ObjectNode submission(String id) {
+    ObjectNode body = newObject();
+    body.put("caller", "desk");
+    body.put("submissionId", id);
+    body.put("submittedAtMs", System.currentTimeMillis());
+    body.put("service", SERVICE);
+    body.put("deadlineAtMs", System.currentTimeMillis() + 45_000);
+    return body;
+  }
+
+  CompletableFuture<Answered> post(String id, int server, String path, JsonNode body) {
+    URI uri = URI.create("http://" + cluster.httpAddress(server) + path);
+    HttpRequest request =
+        HttpRequest.newBuilder(uri)
+            .timeout(TIMEOUT)
+            .header("Content-Type", "application/json")
+            .POST(HttpRequest.BodyPublishers.ofString(body.toString()))
+            .build();
+    CompletableFuture<Answered> answer =
+        http.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+            .handle(
+                (response, failure) ->
+                    failure == null
+                        ? new Answered(id, server, response.statusCode(), parse(response.body()))
+                        : new Answered(id, server, -1, newObject()));
+    underway.add(answer);
+    answer.thenAccept(answers::add);
+    return answer;
+  }
+
+  JsonNode get(int server, String path) {
+    return parse(cluster.body(cluster.httpAddress(server), path));
+  }
+
+  private static JsonNode parse(String text) {
+    try {
+      return text.isEmpty() ? newObject() : JSON.readTree(text);
+    } catch (IOException e) {
+      return newObject().put("notJson", text);
+    }
+  }
+
+  /** Returns a server that runs and has a lease. */
+  int anyReadyServer() {
+    int[] found = new int[1];
+    LocalCluster.await(
+        "some server is ready",
+        () -> {
+          for (int i = 1; i <= SERVERS && found[0] == 0; i++) {
+            found[0] = isReady(i) ? i : 0;
+          }
+          return found[0] > 0;
+        });
+    return found[0];
+  }
+
+  boolean isReady(int server) {
+    return cluster.process("server-" + server).isRunning()
+        && cluster.body(cluster.httpAddress(server), "/health/ready").startsWith("ready");
+  }
+
+  /** Returns the server whose replica leads, as a server that can be reached says. */
+  int leader() {
+    int[] found = new int[1];
+    LocalCluster.await(
+        "a leader is known",
+        () -> {
+          String address =
+              get(anyReadyServer(), "/v1/reports/status").path("leaderAddress").asText();
+          for (int i = 1; i <= SERVERS; i++) {
+            if (address.startsWith(cluster.ipOf("server-" + i) + ":")) {
+              found[0] = i;
+            }
+          }
+          return found[0] > 0;
+        });
+    return found[0];
+  }
+
+  long starts(String job) {
+    try {
+      return cluster.startLines().stream().filter(l -> l.contains(" " + job + "/")).count();
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  JsonNode state(String job) {
+    return get(anyReadyServer(), "/v1/jobs/desk/" + job);
+  }
+
+  void close() throws IOException {
+    if (watch != null) {
+      watch.close();
+    }
+    if (cluster != null) {
+      for (var process : cluster.processes().values()) {
+        if (process.isRunning()) {
+          process.thaw();
+        }
+      }
+      cluster.close();
+    }
+  }
+}
--- /dev/null
+++ b/scenarios/src/test/java/io/hingehoist/scenario/Invariants.java
@@ -0,0 +1,98 @@
+package io.hingehoist.scenario;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/**
+ * What must hold after every scenario, read from what backend servers, callers and operators saw,
+ * independently of hingehoist.
+ */
+final class Invariants {
+  /** Payloads of repeatable requests, which may run more than once. */
+  static final String REPEATABLE = " repeatable-";
+
+  private final Deployment deployment;
+
+  Invariants(Deployment deployment) {
+    this.deployment = deployment;
+  }
+
+  void check() throws IOException {
+    checkStartsOnce();
+    checkAnswers();
+    assertEquals(deployment.watch.faults(), List.of(), "settings went back");
+    List<Long> revisions = List.copyOf(deployment.acceptedRevisions);
+    assertEquals(new HashSet<>(revisions).size(), revisions.size(), "a revision was given twice");
+  }
+
+  private Map<String, Integer> startsByPayload() throws IOException {
+    Map<String, Integer> starts = new HashMap<>();
+    for (String line : deployment.cluster.startLines()) {
+      starts.merge(line.split("\t")[3], 1, Integer::sum);
+    }
+    return starts;
+  }
+
+  private void checkStartsOnce() throws IOException {
+    Map<String, Integer> twice = startsByPayload();
+    twice.entrySet().removeIf(e -> e.getValue() < 2 || e.getKey().contains(REPEATABLE));
+    assertEquals(twice, Map.of(), "started more than once");
+  }
+
+  private void checkAnswers() throws IOException {
+    Map<String, List<Answered>> byId =
+        List.copyOf(deployment.answers).stream().collect(Collectors.groupingBy(Answered::id));
+    Map<String, Integer> starts = startsByPayload();
+    for (Map.Entry<String, List<Answered>> entry : byId.entrySet()) {
+      JsonNode submission = deployment.submissions.get(entry.getKey());
+      if (submission != null) {
+        checkAnswers(entry.getKey(), submission, entry.getValue(), starts);
+      }
+    }
+  }
+
+  private static void checkAnswers(
+      String id, JsonNode submission, List<Answered> answers, Map<String, Integer> starts) {
+    List<String> expected = expectedResults(submission);
+    List<JsonNode> finals = answers.stream().filter(Answered::isFinal).map(Answered::body).toList();
+    for (JsonNode answer : finals) {
+      assertEquals(answer, finals.getFirst(), "two answers to submission " + id);
+      if (answer.path("outcome").asText().equals("complete")) {
+        assertEquals(results(answer), expected, "not the whole answer to " + id);
+      }
+    }
+    boolean allRefused = answers.stream().allMatch(a -> a.outcome().equals("refused"));
+    if (allRefused) {
+      boolean ran = payloads(submission).stream().anyMatch(starts::containsKey);
+      assertTrue(!ran, "refused but run: " + id);
+    }
+  }
+
+  private static List<String> payloads(JsonNode submission) {
+    List<String> payloads = new ArrayList<>();
+    submission.path("tasks").forEach(task -> payloads.add(task.path("payload").asText()));
+    if (submission.has("payload")) {
+      payloads.add(submission.path("payload").asText());
+    }
+    return payloads;
+  }
+
+  private static List<String> expectedResults(JsonNode submission) {
+    return payloads(submission).stream().map(p -> "done " + p.split(" ", 2)[1]).toList();
+  }
+
+  private static List<String> results(JsonNode answer) {
+    List<String> results = new ArrayList<>();
+    answer.path("results").forEach(result -> results.add(result.asText()));
+    return results;
+  }
+}
--- /dev/null
+++ b/scenarios/src/test/java/io/hingehoist/scenario/OperatorSteps.java
@@ -0,0 +1,149 @@
+package io.hingehoist.scenario;
+
+import static org.testng.Assert.assertEquals;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import io.hingehoist.cluster.LocalCluster;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** Steps about operators. */
+public final class OperatorSteps {
+  private final Deployment deployment = Deployments.current();
+  private final List<CompletableFuture<Answered>> changes = new ArrayList<>();
+
+  private static ObjectNode change(String changeId, long base, String key, String value) {
+    ObjectNode body = Deployment.newObject();
+    body.put("changeId", changeId);
+    body.put("baseRevision", base);
+    body.put("path", "/porting");
+    body.put("key", key);
+    body.put("value", value);
+    body.put("operator", "operator-of-" + changeId);
+    return body;
+  }
+
+  private long currentRevision() {
+    JsonNode[] tree = new JsonNode[1];
+    LocalCluster.await(
+        "the settings can be read",
+        () -> {
+          tree[0] = deployment.get(deployment.anyReadyServer(), "/v1/reports/tree");
+          return tree[0].has("overrides");
+        });
+    return tree[0].path("revision").asLong();
+  }
+
+  private Answered send(int server, ObjectNode body) {
+    Answered answer = sendLater(server, body).join();
+    if (answer.body().path("result").asText().equals("accepted")) {
+      deployment.acceptedRevisions.add(answer.body().path("revision").asLong());
+    }
+    return answer;
+  }
+
+  private CompletableFuture<Answered> sendLater(int server, ObjectNode body) {
+    return deployment.post("settings", server, "/v1/settings", body);
+  }
+
+  @When("an operator sets {word} to {word} at server {int}")
+  public void set(String key, String value, int server) {
+    Answered answer = send(server, change("set-" + value, currentRevision(), key, value));
+    assertEquals(answer.body().path("result").asText(), "accepted", answer.toString());
+  }
+
+  @When("an operator sets {word} to {word} at a ready server")
+  public void set(String key, String value) {
+    set(key, value, deployment.anyReadyServer());
+  }
+
+  @When("{int} changes of settings are made at a ready server")
+  public void manyChanges(int count) {
+    int server = deployment.anyReadyServer();
+    long base = currentRevision();
+    for (int i = 0; i < count; i++) {
+      Answered answer =
+          send(server, change("many-" + i, base + i, "taskTimeoutMs", String.valueOf(10_000 + i)));
+      assertEquals(answer.body().path("result").asText(), "accepted", answer.toString());
+    }
+  }
+
+  @When("operators at servers 1, 2 and 3 change {word} at once, each based on the same revision")
+  public void race(String key) {
+    long base = currentRevision();
+    for (int server = 1; server <= 3; server++) {
+      changes.add(sendLater(server, change("race-" + server, base, key, "1000" + server)));
+    }
+  }
+
+  @When("operators at servers 1, 2 and 3 make different changes of {word} under the same change id")
+  public void raceId(String key) {
+    long base = currentRevision();
+    for (int server = 1; server <= 3; server++) {
+      changes.add(sendLater(server, change("same-id", base, key, "1000" + server)));
+    }
+  }
+
+  @Then("exactly one of them is accepted")
+  public void oneAccepted() {
+    long accepted =
+        changes.stream()
+            .map(CompletableFuture::join)
+            .filter(a -> a.body().path("result").asText().equals("accepted"))
+            .count();
+    assertEquals(accepted, 1);
+  }
+
+  @When("an operator whose answer was lost resends the same change at every server")
+  public void resend() {
+    ObjectNode body = change("resent", currentRevision(), "taskTimeoutMs", "12345");
+    for (int server = 1; server <= 3; server++) {
+      changes.add(sendLater(server, body));
+    }
+  }
+
+  @Then("every resend gets the same answer and the revision rose by one to {int}")
+  public void sameAnswer(int revision) {
+    for (CompletableFuture<Answered> change : changes) {
+      assertEquals(change.join().body().path("result").asText(), "accepted");
+      assertEquals(change.join().body().path("revision").asInt(), revision);
+    }
+    assertEquals(currentRevision(), revision);
+  }
+
+  @Then("revision {int} is in force at every server")
+  public void inForce(int revision) {
+    for (int server = 1; server <= 3; server++) {
+      String address = deployment.cluster.httpAddress(server);
+      LocalCluster.await(
+          "revision " + revision + " is in force at server " + server,
+          () ->
+              deployment
+                  .cluster
+                  .body(address, "/health/ready")
+                  .startsWith("ready, settings revision " + revision));
+    }
+  }
+
+  @Then("the audit trail holds {int} accepted and {int} refused changes of settings")
+  public void audit(int accepted, int refused) {
+    int[] found = new int[2];
+    deployment
+        .get(deployment.anyReadyServer(), "/v1/reports/history")
+        .path("rows")
+        .forEach(row -> found[row.path("accepted").asBoolean() ? 0 : 1]++);
+    assertEquals(found, new int[] {accepted, refused});
+  }
+
+  @When("an operator drains {word}")
+  public void drain(String agent) {
+    ObjectNode body = Deployment.newObject().put("operator", "kim");
+    String path = "/v1/members/" + agent + "/drain";
+    Answered answer = deployment.post("drain", deployment.anyReadyServer(), path, body).join();
+    assertEquals(answer.status(), 200, answer.toString());
+  }
+}
--- /dev/null
+++ b/scenarios/src/test/resources/features/7-planned-stop.feature
@@ -0,0 +1,26 @@
+@holds-7
+Feature: A planned stop cuts off no request in flight
+
+  Scenario: A server is told to stop under load
+    Given a cluster with 2 agents
+    When 10 jobs named load of 8 tasks of 300 ms are submitted at every server
+    And 10 repeatable requests of 200 ms are sent to server 2
+    And at least 1 tasks of job load1 have started
+    And server-2 is told to stop
+    Then every answer is complete
+    And server-2 ends with exit code 0
+
+  Scenario: The leader of the log is told to stop under load
+    Given a cluster with 2 agents
+    When 10 jobs named load of 8 tasks of 300 ms are submitted at every server
+    And at least 1 tasks of job load0 have started
+    And the leader is told to stop
+    Then every answer is complete
+
+  Scenario: An agent is told to stop under load
+    Given a cluster with 2 agents
+    When 10 jobs named load of 8 tasks of 300 ms are submitted at every server
+    And at least 8 tasks of job load0 have started
+    And agent-1 is told to stop
+    Then every answer is complete
+    And agent-1 ends with exit code 0
