The launcher that operators use starts every test's processes; an agent's memory is halved

Found, each by one run of 6 to 8 s with no work, RssAnon / RssFile in MB: serial collector, 16 MB heap, C1 (before) 43.7 / 28.5 heap 10 MB, young generation 2 MB 38.4 / 28.9 and only the 22 jars that an agent needs 34.1 / 28.7 and an archive of its classes 28.9 / 33.4 and CompileThresholdScaling=10 22.4 / 33.4 and interpreter only instead 20.0 / 32.5 Ruled out: the interpreter alone (2.4 MB less for much more processor time); fewer threads (19, of which 8 are the machine's; stacks take 1.6 MB in all).

After: 22.4 MB of its own, 55.8 MB with the mapped files, which agents on one box would share.

--- /dev/null
+++ b/benchmark/src/main/java/io/hingehoist/bench/Bench.java
@@ -0,0 +1,190 @@
+package io.hingehoist.bench;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import io.hingehoist.cluster.ClusterShape;
+import io.hingehoist.cluster.LocalCluster;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+
+/** Runs the benchmark; {@code ./bench --help} says how. */
+public final class Bench {
+  private static final int AGENTS = 11;
+  private static final int SLOTS = 8;
+  private static final long ZONE_DELAY_NANOS = 500_000;
+  private static final long CALLER_DELAY_NANOS = 3_000_000;
+
+  /** Twice the way to callers and twice the way between zones. */
+  private static final double NETWORK_MS = 2 * (CALLER_DELAY_NANOS + ZONE_DELAY_NANOS) / 1e6;
+
+  private static final List<String> POLICIES = List.of("random", "twoChoices", "slotCredits");
+
+  @Parameter(names = "--quick", description = "End within three minutes: fewer and shorter runs")
+  private boolean quick;
+
+  @Parameter(names = "--policy", description = "The policy of the runs with faults")
+  private String policy = "slotCredits";
+
+  @Parameter(names = "--json", description = "File that gets the figures")
+  private String json = "out/bench.json";
+
+  @Parameter(names = "--html", description = "File that gets a page for people")
+  private String html = "out/bench.html";
+
+  @Parameter(names = "--bounds", description = "File with the bounds, as ratios")
+  private String bounds = "benchmark/bounds.json";
+
+  @Parameter(names = "--only", description = "Only the runs whose name contains this")
+  private String only = "";
+
+  @Parameter(names = "--help", help = true, description = "Show this")
+  private boolean help;
+
+  private final List<BenchRow> rows = new ArrayList<>();
+  private LocalCluster cluster;
+  private long revision;
+
+  private Bench() {}
+
+  /** Runs the benchmark. */
+  public static void main(String[] args) throws Exception {
+    Bench bench = new Bench();
+    JCommander parser = JCommander.newBuilder().programName("bench").addObject(bench).build();
+    parser.parse(args);
+    if (bench.help) {
+      parser.usage();
+      return;
+    }
+    System.exit(bench.run());
+  }
+
+  private int run() throws Exception {
+    Path folder = Files.createTempDirectory("hingehoist-bench");
+    ClusterShape shape = ClusterShape.of(3, AGENTS, "porting", SLOTS);
+    try (LocalCluster started = LocalCluster.create(folder, shape)) {
+      cluster = started;
+      cluster.relays().forEach(relay -> relay.setDelayNanos(ZONE_DELAY_NANOS));
+      cluster.setCallerDelayNanos(CALLER_DELAY_NANOS);
+      cluster.start();
+      runAll();
+    }
+    return BenchReport.of(rows).write(Path.of(json), Path.of(html), Path.of(bounds), only);
+  }
+
+  private void runAll() throws IOException {
+    setPolicy("twoChoices");
+    load("warm-up", 0.5, 1, quick ? 8 : 15, "");
+    rows.clear();
+    Histogram direct = DirectCalls.measure(cluster, quick ? 40 : 200);
+    System.out.printf(
+        "direct call to a backend server: gap p50 %.2f ms, p99 %.2f ms%n",
+        direct.getValueAtPercentile(50) / 1e3, direct.getValueAtPercentile(99) / 1e3);
+    System.out.println(BenchRow.header());
+    List<Double> levels = quick ? List.of(0.7, 1.3) : List.of(0.3, 0.7, 0.95, 1.3);
+    for (String each : POLICIES) {
+      setPolicy(each);
+      for (double level : levels) {
+        load(each + " " + Math.round(level * 100) + "%", level, 1, quick ? 10 : 25, "");
+      }
+    }
+    runFaults();
+  }
+
+  private void runFaults() throws IOException {
+    setPolicy(policy);
+    long seconds = quick ? 10 : 20;
+    load(policy + " burst", 0.5, 5, quick ? 10 : 25, "");
+    cluster.backend("agent-2").setSlowness(10);
+    load(policy + " slow worker", 0.7, 1, seconds, "");
+    cluster.backend("agent-2").setSlowness(1);
+    loadWithKill("agent killed", "agent-3", seconds);
+    loadWithKill("entry killed", "server-3", seconds);
+  }
+
+  private boolean isWanted(String name) {
+    return name.contains(only);
+  }
+
+  private void load(String name, double level, double burst, long seconds, String note) {
+    if (!isWanted(name) && !name.equals("warm-up")) {
+      return;
+    }
+    List<Arrival> plan = ArrivalPlan.create(AGENTS * SLOTS, level, burst, seconds, 42);
+    LoadResult result = new LoadGenerator(cluster, NETWORK_MS, runName(name)).run(plan);
+    add(BenchRow.of(name, result, seconds, note));
+  }
+
+  private void loadWithKill(String name, String victim, long seconds) throws IOException {
+    String fullName = policy + " " + name;
+    if (!isWanted(fullName)) {
+      return;
+    }
+    long killAtMs = seconds * 400;
+    List<Arrival> plan = ArrivalPlan.create(AGENTS * SLOTS, 0.7, 1, seconds, 43);
+    CompletableFuture<Void> kill =
+        CompletableFuture.runAsync(
+            () -> cluster.process(victim).kill(),
+            CompletableFuture.delayedExecutor(killAtMs, TimeUnit.MILLISECONDS));
+    LoadResult result = new LoadGenerator(cluster, NETWORK_MS, runName(fullName)).run(plan);
+    kill.join();
+    double before = result.tasksPerSecond(2_000, killAtMs);
+    long recoveredMs = result.msUntilRate(killAtMs, before * 10 / 11);
+    String note = "before %.0f task/s, back at 10/11 after %d ms".formatted(before, recoveredMs);
+    add(BenchRow.of(fullName, result, seconds, note));
+    cluster.process(victim).start();
+    cluster.awaitReady();
+  }
+
+  private String runName(String name) {
+    return name.replaceAll("\\W+", "-") + "-" + System.nanoTime();
+  }
+
+  private void add(BenchRow row) {
+    rows.add(row);
+    System.out.println(row);
+  }
+
+  private void setPolicy(String name) throws IOException {
+    String body =
+        """
+        {"changeId": "bench-%d", "baseRevision": %d, "path": "/", "key": "placement",
+         "value": "%s", "operator": "bench"}
+        """
+            .formatted(revision, revision, name);
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + cluster.httpAddress(1) + "/v1/settings"))
+            .header("Content-Type", "application/json")
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    try {
+      HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted", e);
+    }
+    revision++;
+    String expected = "ready, settings revision " + revision;
+    for (int server = 1; server <= 3; server++) {
+      String address = cluster.httpAddress(server);
+      LocalCluster.await(
+          "the policy is in force",
+          () -> cluster.body(address, "/health/ready").startsWith(expected));
+    }
+  }
+
+  static ObjectMapper json() {
+    return new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+  }
+}
--- /dev/null
+++ b/benchmark/src/main/java/io/hingehoist/bench/BenchRow.java
@@ -0,0 +1,86 @@
+package io.hingehoist.bench;
+
+import java.util.Map;
+
+/**
+ * One line of the benchmark's table. Gaps are in milliseconds.
+ *
+ * @param name what was measured, such as {@code twoChoices 70%}
+ * @param note what else there is to say
+ */
+record BenchRow(
+    String name,
+    double fastP50,
+    double fastP99,
+    double fastP999,
+    double onceP50,
+    double onceP99,
+    double jobP50,
+    double jobP99,
+    double messagesPerTask,
+    double wastedPerTask,
+    double bytesPerTask,
+    double tasksPerSecond,
+    int lateAnswers,
+    Map<String, Integer> outcomes,
+    String note) {
+
+  static BenchRow of(String name, LoadResult result, double seconds, String note) {
+    return new BenchRow(
+        name,
+        result.gapMs(Arrival.Kind.REPEATABLE, 50),
+        result.gapMs(Arrival.Kind.REPEATABLE, 99),
+        result.gapMs(Arrival.Kind.REPEATABLE, 99.9),
+        result.gapMs(Arrival.Kind.ONCE, 50),
+        result.gapMs(Arrival.Kind.ONCE, 99),
+        result.gapMs(Arrival.Kind.JOB, 50),
+        result.gapMs(Arrival.Kind.JOB, 99),
+        result.messagesPerTask(),
+        result.wastedPerTask(),
+        result.bytesPerTask(),
+        result.completedTasks() / seconds,
+        result.lateAnswers(),
+        result.outcomes(),
+        note);
+  }
+
+  static String header() {
+    return "%-24s %8s %8s %8s %8s %8s %8s %8s %7s %7s %7s %7s %5s  %s"
+        .formatted(
+            "run",
+            "fast50",
+            "fast99",
+            "fast99.9",
+            "once50",
+            "once99",
+            "job50",
+            "job99",
+            "msg/t",
+            "waste/t",
+            "B/task",
+            "task/s",
+            "late",
+            "outcomes");
+  }
+
+  @Override
+  public String toString() {
+    return "%-24s %8.2f %8.2f %8.2f %8.2f %8.2f %8.2f %8.2f %7.3f %7.3f %7.0f %7.1f %5d  %s %s"
+        .formatted(
+            name,
+            fastP50,
+            fastP99,
+            fastP999,
+            onceP50,
+            onceP99,
+            jobP50,
+            jobP99,
+            messagesPerTask,
+            wastedPerTask,
+            bytesPerTask,
+            tasksPerSecond,
+            lateAnswers,
+            outcomes,
+            note);
+  }
+}
--- a/benchmark/src/main/java/io/hingehoist/cluster/ClusterShape.java
+++ b/benchmark/src/main/java/io/hingehoist/cluster/ClusterShape.java
@@ -1,7 +1,5 @@
 package io.hingehoist.cluster;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
 
 /**
@@ -12,7 +10,7 @@
  * @param service the service that the backend servers offer
  * @param slots the slots of each agent
  * @param controlSettings values that differ from the defaults of the control section
- * @param serverFlags flags of the virtual machines of servers
+ * @param serverFlags more flags of the virtual machines of servers
  */
 public record ClusterShape(
     int servers,
@@ -20,26 +18,22 @@
     String service,
     int slots,
     Map<String, String> controlSettings,
-    List<String> serverFlags) {
-  private static final List<String> SERVER_FLAGS =
-      List.of("-Xmx512m", "-Xss512k", "-XX:+UseSerialGC");
+    String serverFlags) {
 
-  /** Copies the settings and flags. */
+  /** Copies the settings. */
   public ClusterShape {
     controlSettings = Map.copyOf(controlSettings);
-    serverFlags = List.copyOf(serverFlags);
   }
 
   /** Returns a shape with the default settings. */
   public static ClusterShape of(int servers, int agents, String service, int slots) {
-    return new ClusterShape(servers, agents, service, slots, Map.of(), SERVER_FLAGS);
+    return new ClusterShape(servers, agents, service, slots, Map.of(), "");
   }
 
   /** Returns this shape for processes that live too short to be worth optimizing. */
   public ClusterShape shortLived() {
-    List<String> flags = new ArrayList<>(serverFlags);
-    flags.add("-XX:TieredStopAtLevel=1");
-    return new ClusterShape(servers, agents, service, slots, controlSettings, flags);
+    return new ClusterShape(
+        servers, agents, service, slots, controlSettings, "-XX:TieredStopAtLevel=1");
   }
 
   /** Returns this shape with one more value of the control section. */
--- a/benchmark/src/main/java/io/hingehoist/cluster/Launch.java
+++ b/benchmark/src/main/java/io/hingehoist/cluster/Launch.java
@@ -1,40 +1,32 @@
 package io.hingehoist.cluster;
 
+import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 
-/** Static helpers that build the command line of a daemon, with this process's class path. */
+/** Static helpers that start the daemon as an operator does, by its launcher. */
 final class Launch {
-  /** The flags of bin/hingehoistd for an agent; the reasons are in docs/CAPACITY.md. */
-  private static final List<String> AGENT_FLAGS =
-      List.of(
-          "-XX:+UseSerialGC",
-          "-Xms8m",
-          "-Xmx16m",
-          "-Xss256k",
-          "-XX:TieredStopAtLevel=1",
-          "-XX:ReservedCodeCacheSize=8m",
-          "-XX:CICompilerCount=1",
-          "-XX:-UsePerfData",
-          "-XX:+UnlockDiagnosticVMOptions",
-          "-XX:ArchiveRelocationMode=0");
+  private static final Path LAUNCHER = Path.of("bin", "hingehoistd");
 
   private Launch() {}
 
-  static List<String> agentFlags() {
-    return AGENT_FLAGS;
+  static ProcessBuilder builder(String flags, String action, Path settingsFile) {
+    ProcessBuilder builder =
+        new ProcessBuilder(List.of(launcher(), action, settingsFile.toString()));
+    builder.environment().put("JAVA_HOME", System.getProperty("java.home"));
+    builder.environment().put("HINGEHOISTD_FLAGS", flags);
+    return builder;
   }
 
-  static List<String> command(List<String> flags, String action, Path settingsFile) {
-    List<String> command = new ArrayList<>();
-    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(flags);
-    command.add("-cp");
-    command.add(System.getProperty("java.class.path"));
-    command.add("io.hingehoist.daemon.Main");
-    command.add(action);
-    command.add(settingsFile.toString());
-    return command;
+  /** The launcher is looked for upwards: tests run in the folder of their module. */
+  private static String launcher() {
+    Path folder = Path.of("").toAbsolutePath();
+    while (folder != null && !Files.isExecutable(folder.resolve(LAUNCHER))) {
+      folder = folder.getParent();
+    }
+    if (folder == null) {
+      throw new IllegalStateException("there is no " + LAUNCHER + " here or above");
+    }
+    return folder.resolve(LAUNCHER).toString();
   }
 }
--- a/benchmark/src/main/java/io/hingehoist/cluster/LocalCluster.java
+++ b/benchmark/src/main/java/io/hingehoist/cluster/LocalCluster.java
@@ -31,6 +31,7 @@
   private static final int CONTROL_PORT = 7_100;
   private static final int CONTROL_BIND_PORT = 17_100;
   private static final int HTTP_PORT = 8_080;
+  private static final int CALLER_PORT = 18_080;
   private static final int AGENT_PORT = 7_200;
   private static final int AGENT_BIND_PORT = 17_200;
   private static final int BACKEND_PORT = 9_000;
@@ -42,6 +43,7 @@
   private final int network = ThreadLocalRandom.current().nextInt(2, 250);
   private final Map<String, NodeProcess> processes = new LinkedHashMap<>();
   private final Map<String, Relay> relays = new LinkedHashMap<>();
+  private final Map<String, Relay> callerRelays = new LinkedHashMap<>();
   private final Map<String, StandInBackend> backends = new LinkedHashMap<>();
   private final HttpClient http = HttpClient.newBuilder().connectTimeout(HTTP_TIMEOUT).build();
 
@@ -114,6 +116,7 @@
                 serverIp(i),
                 HTTP_PORT));
     relays.put(name, Relay.open(serverIp(i), CONTROL_PORT, serverIp(i), CONTROL_BIND_PORT));
+    callerRelays.put(name, Relay.open(serverIp(i), CALLER_PORT, serverIp(i), HTTP_PORT));
     processes.put(name, process(name, home, shape.serverFlags()));
   }
 
@@ -153,11 +156,11 @@
     relays.put(name, Relay.open(agentIp(i), AGENT_PORT, agentIp(i), AGENT_BIND_PORT));
     backends.put(
         name, StandInBackend.start(name, agentIp(i), BACKEND_PORT, home.resolve("starts.log")));
-    processes.put(name, process(name, home, Launch.agentFlags()));
+    processes.put(name, process(name, home, ""));
   }
 
-  private NodeProcess process(String name, Path home, List<String> flags) {
-    return NodeProcess.create(name, home, Launch.command(flags, "run", settingsFile(name)));
+  private NodeProcess process(String name, Path home, String flags) {
+    return NodeProcess.create(name, home, Launch.builder(flags, "run", settingsFile(name)));
   }
 
   /** Returns the settings file of a process. */
@@ -171,7 +174,7 @@
         NodeProcess.create(
             "found",
             folder.resolve("server-1"),
-            Launch.command(List.of(), "found", settingsFile("server-1")));
+            Launch.builder("", "found", settingsFile("server-1")));
     founding.start();
     if (founding.awaitEnd() != 0) {
       throw new IOException("founding failed: " + founding.output());
@@ -243,11 +246,26 @@
     }
   }
 
+  /** Returns where a backend server takes requests. */
+  public String backendAddress(int agent) {
+    return agentIp(agent) + ":" + BACKEND_PORT;
+  }
+
   /** Returns where a server takes callers. */
   public String httpAddress(int server) {
     return serverIp(server) + ":" + HTTP_PORT;
   }
 
+  /** Returns where a server takes callers that are some way off. */
+  public String callerAddress(int server) {
+    return serverIp(server) + ":" + CALLER_PORT;
+  }
+
+  /** Delays everything between callers and servers by a time in each direction. */
+  public void setCallerDelayNanos(long nanos) {
+    callerRelays.values().forEach(relay -> relay.setDelayNanos(nanos));
+  }
+
   /** Returns where an agent serves its metrics. */
   public String metricsAddress(int agent) {
     return agentIp(agent) + ":" + METRICS_PORT;
@@ -315,6 +333,9 @@
     for (Relay relay : relays.values()) {
       relay.close();
     }
+    for (Relay relay : callerRelays.values()) {
+      relay.close();
+    }
     for (StandInBackend backend : backends.values()) {
       backend.close();
     }
--- a/benchmark/src/main/java/io/hingehoist/cluster/NodeProcess.java
+++ b/benchmark/src/main/java/io/hingehoist/cluster/NodeProcess.java
@@ -11,20 +11,20 @@
 public final class NodeProcess {
   private final String name;
   private final Path folder;
-  private final List<String> command;
+  private final ProcessBuilder builder;
   private final Path output;
   private Process process;
 
-  private NodeProcess(String name, Path folder, List<String> command) {
+  private NodeProcess(String name, Path folder, ProcessBuilder builder) {
     this.name = name;
     this.folder = folder;
-    this.command = List.copyOf(command);
+    this.builder = builder;
     this.output = folder.resolve("output.log");
   }
 
   /** Creates a process of the daemon that is not started yet. */
-  static NodeProcess create(String name, Path folder, List<String> command) {
-    return new NodeProcess(name, folder, command);
+  static NodeProcess create(String name, Path folder, ProcessBuilder builder) {
+    return new NodeProcess(name, folder, builder);
   }
 
   /** Returns the name of the process. */
@@ -34,7 +34,6 @@
 
   /** Starts the process, or starts it again after it has ended. */
   public void start() throws IOException {
-    ProcessBuilder builder = new ProcessBuilder(command);
     builder.redirectErrorStream(true);
     builder.redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()));
     process = builder.start();
--- a/daemon/src/main/java/io/hingehoist/agent/AgentNode.java
+++ b/daemon/src/main/java/io/hingehoist/agent/AgentNode.java
@@ -53,6 +53,7 @@
   private static final long HEARTBEAT_MS = 500;
   private static final long POLL_MS = 50;
   private static final long LAST_WORD_MS = 2_000;
+  private static final long REHEARSAL_MS = 2_000;
 
   /** Leases are taken a twentieth shorter, in case two clocks run at different rates. */
   private static final long LEASE_MARGIN_DIVISOR = 20;
@@ -323,6 +324,13 @@
     }
   }
 
+  /** Goes once through the ways of a task, for {@code hingehoistd archive}. */
+  public void rehearse() {
+    BackendAnswer answer = backend.run("rehearsal", "", REHEARSAL_MS);
+    LOG.infof("event=rehearsed answer=\"%s\"", answer);
+    await(settled, REHEARSAL_MS);
+  }
+
   /**
    * Stops as planned: takes no new work at once, waits until nothing runs and every job that used
    * this agent has its outcome, and takes its leave of the control replicas.
--- a/daemon/src/main/java/io/hingehoist/daemon/AgentProcess.java
+++ b/daemon/src/main/java/io/hingehoist/daemon/AgentProcess.java
@@ -26,6 +26,18 @@
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(agent), "stop"));
   }
 
+  /** Runs an agent for a moment, with a metrics server, so that its classes are loaded. */
+  static void rehearse(DaemonSettings settings) throws IOException {
+    Logs.configure(settings.node());
+    Metrics metrics = Metrics.create();
+    AgentSection section = settings.agent().orElseThrow();
+    ThreadFactory threads = AgentProcess::newThread;
+    try (AgentNode agent =
+        AgentNode.start(settings.node(), section, metrics, threads, Main::halt)) {
+      agent.rehearse();
+    }
+  }
+
   private static Thread newThread(Runnable action) {
     Thread thread = new Thread(null, action, "traffic", STACK_BYTES);
     thread.setDaemon(true);
--- a/daemon/src/main/java/io/hingehoist/daemon/Main.java
+++ b/daemon/src/main/java/io/hingehoist/daemon/Main.java
@@ -21,6 +21,8 @@
              hingehoistd check FILE    check a settings file and do nothing else
              hingehoistd found FILE    make the data folder the first replica of a new cluster;
                                        once in the life of a cluster, on one box only
+             hingehoistd archive FILE  load what an agent needs and end, so that the launcher
+                                       can archive it: an agent then starts with less memory
              hingehoistd --help        show this
 
       exit codes: 0 done, 64 wrong command line, 65 damaged data folder, 70 broken invariant,
@@ -44,7 +46,8 @@
       System.out.print(USAGE);
       return ExitCode.OK;
     }
-    if (args.size() != 2 || !List.of("run", "check", "found").contains(args.getFirst())) {
+    if (args.size() != 2
+        || !List.of("run", "check", "found", "archive").contains(args.getFirst())) {
       System.err.print(USAGE);
       return ExitCode.USAGE;
     }
@@ -64,6 +67,7 @@
         yield ExitCode.OK;
       }
       case "found" -> found(settings);
+      case "archive" -> archive(settings);
       default -> start(settings);
     };
   }
@@ -89,6 +93,20 @@
     }
   }
 
+  private static ExitCode archive(DaemonSettings settings) {
+    if (settings.agent().isEmpty()) {
+      System.err.println("node.roles: value has no agent; allowed: a file with the agent role");
+      return ExitCode.BAD_SETTINGS;
+    }
+    try {
+      AgentProcess.rehearse(settings);
+      return ExitCode.OK;
+    } catch (IOException e) {
+      System.err.println("can't start: " + e);
+      return ExitCode.CANNOT_OPEN;
+    }
+  }
+
   private static ExitCode start(DaemonSettings settings) {
     Logs.configure(settings.node());
     Metrics metrics = Metrics.create();
