--- a/core/src/test/java/io/hingehoist/dispatch/OnceGroup.java
+++ b/core/src/test/java/io/hingehoist/dispatch/OnceGroup.java
@@ -55,6 +55,9 @@
     final Deque<Message> toAgent = new ArrayDeque<>();
     final Deque<Message> toEntry = new ArrayDeque<>();
 
+    /** Whether the network holds back what the entry sent, to deliver it late. */
+    boolean stalled;
+
     Connection(long id) {
       this.id = id;
     }
@@ -312,6 +315,13 @@
     }
   }
 
+  void stallOrRelease(Entry entry, Agent agent) {
+    Connection connection = entry.connections.get(agent.id);
+    if (connection != null) {
+      connection.stalled = !connection.stalled;
+    }
+  }
+
   void breakConnection(Entry entry, Agent agent) {
     Connection connection = entry.connections.remove(agent.id);
     if (connection != null) {
@@ -327,7 +337,7 @@
     if (connection == null) {
       return;
     }
-    if (forward && !agent.frozen && !connection.toAgent.isEmpty()) {
+    if (forward && !agent.frozen && !connection.stalled && !connection.toAgent.isEmpty()) {
       Message message = connection.toAgent.remove();
       agent.carryOut(agent.ledger.onMessage(connection.id, message, nowMs));
     }
@@ -373,6 +383,7 @@
         entry.frozen = false;
       }
       agents.forEach(agent -> agent.frozen = false);
+      entries.forEach(entry -> entry.connections.values().forEach(c -> c.stalled = false));
       entries.forEach(entry -> agents.forEach(agent -> connect(entry, agent)));
       agents.forEach(Agent::heartbeat);
       entries.forEach(Entry::heartbeat);
--- a/core/src/test/java/io/hingehoist/dispatch/StartOnceTest.java
+++ b/core/src/test/java/io/hingehoist/dispatch/StartOnceTest.java
@@ -85,6 +85,8 @@
       restart(entry);
     } else if (dice == 883) {
       agent.restart();
+    } else if (dice < 888) {
+      group.stallOrRelease(entry, agent);
     } else if (dice < 940) {
       group.endSilentMembers();
     } else if (entry.alive && !entry.frozen) {
