--- a/benchmark/src/main/java/io/hingehoist/bench/Bench.java
+++ b/benchmark/src/main/java/io/hingehoist/bench/Bench.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.SerializationFeature;
 import io.hingehoist.cluster.ClusterShape;
 import io.hingehoist.cluster.LocalCluster;
+import io.hingehoist.cluster.ProcessUsage;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -118,13 +119,47 @@
     return name.contains(only);
   }
 
-  private void load(String name, double level, double burst, long seconds, String note) {
+  private void load(String name, double level, double burst, long seconds, String note)
+      throws IOException {
     if (!isWanted(name) && !name.equals("warm-up")) {
       return;
     }
     List<Arrival> plan = ArrivalPlan.create(AGENTS * SLOTS, level, burst, seconds, 42);
+    ProcessUsage serversBefore = ProcessUsage.of(cluster, "server");
+    ProcessUsage agentsBefore = ProcessUsage.of(cluster, "agent");
+    double journalBefore = metric("hingehoist_journal_bytes_total");
+    double syncsBefore = metric("hingehoist_journal_sync_seconds_count");
     LoadResult result = new LoadGenerator(cluster, NETWORK_MS, runName(name)).run(plan);
     add(BenchRow.of(name, result, seconds, note));
+    ProcessUsage servers = ProcessUsage.of(cluster, "server");
+    ProcessUsage agents = ProcessUsage.of(cluster, "agent");
+    long durable = plan.stream().filter(a -> a.kind() != Arrival.Kind.REPEATABLE).count();
+    System.out.printf(
+        "  usage: processor time a task %.0f us on servers, %.0f us on agents; agents hold up to"
+            + " %.1f MB of their own and %.1f MB of files, servers %.0f MB; journal %.0f bytes and"
+            + " %.2f syncs a durable submission, all replicas together%n",
+        1e6 * (servers.cpuSeconds() - serversBefore.cpuSeconds()) / result.completedTasks(),
+        1e6 * (agents.cpuSeconds() - agentsBefore.cpuSeconds()) / result.completedTasks(),
+        agents.anonymousMb(),
+        agents.fileMb(),
+        servers.anonymousMb(),
+        (metric("hingehoist_journal_bytes_total") - journalBefore) / durable,
+        (metric("hingehoist_journal_sync_seconds_count") - syncsBefore) / durable);
+  }
+
+  /** Returns the sum of a metric over all servers. */
+  private double metric(String name) {
+    double sum = 0;
+    for (int server = 1; server <= 3; server++) {
+      sum +=
+          cluster
+              .body(cluster.httpAddress(server), "/metrics")
+              .lines()
+              .filter(line -> line.startsWith(name + " "))
+              .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1)))
+              .sum();
+    }
+    return sum;
   }
 
   private void loadWithKill(String name, String victim, long seconds) throws IOException {
--- /dev/null
+++ b/benchmark/src/main/java/io/hingehoist/cluster/ProcessUsage.java
@@ -0,0 +1,50 @@
+package io.hingehoist.cluster;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * What some processes have used, as the kernel counts it.
+ *
+ * @param cpuSeconds processor time of all of them together
+ * @param anonymousMb the most memory of its own that one of them holds
+ * @param fileMb the most mapped files that one of them holds
+ */
+public record ProcessUsage(double cpuSeconds, double anonymousMb, double fileMb) {
+  private static final double TICKS_PER_SECOND = 100;
+  private static final int USER_TICKS = 13;
+  private static final int SYSTEM_TICKS = 14;
+
+  /** Reads the usage of the processes whose name begins with a text. */
+  public static ProcessUsage of(LocalCluster cluster, String namePrefix) throws IOException {
+    double cpuSeconds = 0;
+    double anonymousMb = 0;
+    double fileMb = 0;
+    for (NodeProcess process : cluster.processes().values()) {
+      if (process.name().startsWith(namePrefix) && process.isRunning()) {
+        Path proc = Path.of("/proc", String.valueOf(process.pid()));
+        cpuSeconds += cpuSeconds(Files.readString(proc.resolve("stat")));
+        List<String> status = Files.readAllLines(proc.resolve("status"));
+        anonymousMb = Math.max(anonymousMb, megabytes(status, "RssAnon:"));
+        fileMb = Math.max(fileMb, megabytes(status, "RssFile:"));
+      }
+    }
+    return new ProcessUsage(cpuSeconds, anonymousMb, fileMb);
+  }
+
+  private static double cpuSeconds(String stat) {
+    String[] fields = stat.split(" ");
+    return (Long.parseLong(fields[USER_TICKS]) + Long.parseLong(fields[SYSTEM_TICKS]))
+        / TICKS_PER_SECOND;
+  }
+
+  private static double megabytes(List<String> status, String field) {
+    return status.stream()
+        .filter(line -> line.startsWith(field))
+        .mapToDouble(line -> Double.parseDouble(line.replaceAll("\\D+", "")) / 1_024)
+        .findFirst()
+        .orElse(0);
+  }
+}
--- a/core/src/main/java/io/hingehoist/dispatch/ServicePool.java
+++ b/core/src/main/java/io/hingehoist/dispatch/ServicePool.java
@@ -111,7 +111,8 @@
     }
     List<Worker<Work>> takers = new ArrayList<>();
     for (Worker<Work> worker : workers.values()) {
-      boolean worthTrying = !backoff.isPaused(nowMs) || worker.isFresh(nowMs);
+      boolean showsRoom = worker.isFresh(nowMs) && worker.estimatedFreeSlots(nowMs) > 0;
+      boolean worthTrying = !backoff.isPaused(nowMs) || showsRoom;
       if (worker.takesWork(nowMs) && worthTrying) {
         takers.add(worker);
       }
