--- a/core/src/test/java/io/hingehoist/dispatch/OnceGroup.java
+++ b/core/src/test/java/io/hingehoist/dispatch/OnceGroup.java
@@ -20,6 +20,7 @@
 import io.hingehoist.message.EntryKind;
 import io.hingehoist.message.LogEntry;
 import io.hingehoist.message.MemberState;
+import io.hingehoist.message.MembersUpdate;
 import io.hingehoist.message.Message;
 import io.hingehoist.message.OwnedJob;
 import io.hingehoist.message.TaskState;
@@ -31,9 +32,11 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
@@ -73,6 +76,7 @@
     long membersVersion;
     final Map<String, Connection> connections = new TreeMap<>();
     final Map<String, Boolean> opened = new HashMap<>();
+    final Set<String> memberIds = new HashSet<>();
 
     Entry(String id) {
       this.id = id;
@@ -107,6 +111,7 @@
               members -> {
                 membersVersion = members.version();
                 carryOut(dispatcher.onMembers(members.agents(), nowMs));
+                closeOthers(members);
               });
       carryOut(dispatcher.onLease(nowMs + LEASE_MS, 0, nowMs));
       for (OwnedJob owned : state.adoptedBy(id, incarnation, dispatcher.ownedJobIds())) {
@@ -115,6 +120,17 @@
       }
     }
 
+    /** Closes the connections to agents that are no members, as an entry does. */
+    private void closeOthers(MembersUpdate members) {
+      memberIds.clear();
+      members.agents().forEach(info -> memberIds.add(info.agentId()));
+      for (Agent agent : agents) {
+        if (!memberIds.contains(agent.id)) {
+          breakConnection(this, agent);
+        }
+      }
+    }
+
     private JobSpec spec(JobRow row, long epoch) {
       return new JobSpec(
           row.jobId(), epoch, row.admittedAtMs(), "s", "c", "t", DEADLINE_MS, row.payloads());
@@ -307,7 +323,7 @@
 
   void connect(Entry entry, Agent agent) {
     boolean able = entry.alive && !entry.frozen && !agent.frozen;
-    if (able && !entry.connections.containsKey(agent.id)) {
+    if (able && entry.memberIds.contains(agent.id) && !entry.connections.containsKey(agent.id)) {
       Connection connection = new Connection(++connectionIds);
       entry.connections.put(agent.id, connection);
       entry.opened.put(agent.id, false);
