Agents with room to breathe, answers off the dispatch thread, bounds that were missing

Cause: after four minutes of load an agent's processor time a task rose from 2.8 to 6.8 ms, the fast path's p50 gap from 6 to 42 ms, and killing an entry then failed 539 of 3,561 submissions: the 8 MB heap tried for 32 MB was full.

Ruled out: the relays and the load generator (a fresh cluster was well again); CompileThresholdScaling (no difference at 1 or 10). A failed try, reverted: platform threads for connections of servers in place of virtual ones changed nothing (fast path p50 5.08 to 5.19 ms, sequential, no relays).

HTTP answers are written by traffic threads; they were written by the dispatch thread. An answer that does not fit into the log fails its job instead of being tried for ever; deadlines have an upper bound; a message of another kind from an agent's address closes the connection, where it would have stopped the entry.

--- a/benchmark/src/main/java/io/hingehoist/cluster/LocalCluster.java
+++ b/benchmark/src/main/java/io/hingehoist/cluster/LocalCluster.java
@@ -3,6 +3,9 @@
 import io.hingehoist.standin.Relay;
 import io.hingehoist.standin.StandInBackend;
 import java.io.IOException;
+import java.net.BindException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -36,20 +39,40 @@
   private static final int AGENT_BIND_PORT = 17_200;
   private static final int BACKEND_PORT = 9_000;
   private static final int METRICS_PORT = 7_300;
+  private static final int RESERVATION_PORT = 7_000;
+  private static final int NETWORKS = 250;
   private static final Duration HTTP_TIMEOUT = Duration.ofSeconds(5);
 
   private final Path folder;
   private final ClusterShape shape;
-  private final int network = ThreadLocalRandom.current().nextInt(2, 250);
+  private final ServerSocket reservation;
+  private final int network;
   private final Map<String, NodeProcess> processes = new LinkedHashMap<>();
   private final Map<String, Relay> relays = new LinkedHashMap<>();
   private final Map<String, Relay> callerRelays = new LinkedHashMap<>();
   private final Map<String, StandInBackend> backends = new LinkedHashMap<>();
   private final HttpClient http = HttpClient.newBuilder().connectTimeout(HTTP_TIMEOUT).build();
 
-  private LocalCluster(Path folder, ClusterShape shape) {
+  private LocalCluster(Path folder, ClusterShape shape) throws IOException {
     this.folder = folder;
     this.shape = shape;
+    this.reservation = reserveNetwork();
+    this.network = reservation.getInetAddress().getAddress()[1] & 0xff;
+  }
+
+  /** Takes a network that no other cluster on this machine has: one socket on it stands for it. */
+  private static ServerSocket reserveNetwork() throws IOException {
+    int first = ThreadLocalRandom.current().nextInt(NETWORKS);
+    for (int i = 0; i < NETWORKS; i++) {
+      int candidate = 2 + (first + i) % NETWORKS;
+      try {
+        return new ServerSocket(
+            RESERVATION_PORT, 1, InetAddress.getByName("127." + candidate + ".0.1"));
+      } catch (BindException e) {
+        // Another cluster has it.
+      }
+    }
+    throw new IOException("all networks of 127.0.0.0/8 from 127.2 on are taken");
   }
 
   /** Writes the settings files of a cluster, and opens relays and backend servers. */
@@ -333,6 +356,7 @@
     for (Relay relay : relays.values()) {
       relay.close();
     }
+    reservation.close();
     for (Relay relay : callerRelays.values()) {
       relay.close();
     }
--- a/core/src/main/java/io/hingehoist/dispatch/JobRun.java
+++ b/core/src/main/java/io/hingehoist/dispatch/JobRun.java
@@ -12,6 +12,9 @@
  * One job that this entry owns, from its admission to its outcome. Owned by {@link JobDispatch}.
  */
 final class JobRun {
+  /** A character takes up to three bytes in UTF-8; a frame takes 16 MiB. */
+  private static final long MAX_ANSWER_CHARACTERS = 4L * 1024 * 1024;
+
   private final JobSpec spec;
   private final List<TaskWork> tasks;
   private final Set<String> agentIds = new LinkedHashSet<>();
@@ -123,9 +126,21 @@
     task.finish(result);
     unfinished--;
     if (unfinished == 0 && isOpen()) {
-      List<String> results = tasks.stream().map(t -> t.result().orElseThrow()).toList();
-      outcome = Optional.of(new JobOutcome(OutcomeStatus.COMPLETE, "", results));
+      complete();
+    }
+  }
+
+  /** The whole answer is one entry of the log, so it has to fit into one. */
+  private void complete() {
+    List<String> results = tasks.stream().map(t -> t.result().orElseThrow()).toList();
+    long characters = results.stream().mapToLong(String::length).sum();
+    if (characters > MAX_ANSWER_CHARACTERS) {
+      fail(
+          "the results have %d characters together, at most %d fit into an answer"
+              .formatted(characters, MAX_ANSWER_CHARACTERS));
+      return;
     }
+    outcome = Optional.of(new JobOutcome(OutcomeStatus.COMPLETE, "", results));
   }
 
   /** Gives the job up. None of its waiting tasks starts any more. */
--- a/core/src/main/java/io/hingehoist/worker/JobLedger.java
+++ b/core/src/main/java/io/hingehoist/worker/JobLedger.java
@@ -58,12 +58,9 @@
     return retired;
   }
 
-  /** Drops the results; the tasks stay known as started. */
+  /** Notes that the outcome of the job is committed. */
   void retire() {
     retired = true;
-    started.replaceAll(
-        (index, task) ->
-            task.state() == TaskState.RUNNING ? task : new Started(task.state(), "", 0, 0));
   }
 
   Optional<Started> started(int taskIndex) {
--- a/core/src/main/java/io/hingehoist/worker/TaskLedger.java
+++ b/core/src/main/java/io/hingehoist/worker/TaskLedger.java
@@ -40,6 +40,7 @@
   private final String agentId;
   private final CreditLedger slots;
   private final Map<Long, JobLedger> jobs = new HashMap<>();
+  private final Map<Long, Long> retiredJobs = new HashMap<>();
   private final Map<RunKey, Long> slotTakers = new HashMap<>();
   private final List<LedgerEffect> effects = new ArrayList<>();
   private long incarnation;
@@ -78,7 +79,7 @@
 
   /** Returns the number of jobs that are remembered. */
   public int rememberedJobs() {
-    return jobs.size();
+    return jobs.size() + retiredJobs.size();
   }
 
   /** Returns whether nothing runs and every job with a task started here has its outcome. */
@@ -106,6 +107,7 @@
     if (newFloorMs > floorMs) {
       floorMs = newFloorMs;
       jobs.values().removeIf(job -> job.admittedAtMs() < floorMs && !job.hasRunningTasks());
+      retiredJobs.values().removeIf(admittedAtMs -> admittedAtMs < floorMs);
     }
   }
 
@@ -177,7 +179,8 @@
       return Optional.of(NotStartedReason.WRONG_INCARNATION);
     }
     JobLedger job = jobs.get(start.jobId());
-    if (start.admittedAtMs() < floorMs || (job != null && job.isRetired())) {
+    boolean retired = retiredJobs.containsKey(start.jobId()) || (job != null && job.isRetired());
+    if (start.admittedAtMs() < floorMs || retired) {
       return Optional.of(NotStartedReason.RETIRED);
     }
     if (job != null && start.epoch() < job.epoch()) {
@@ -255,11 +258,10 @@
       report(connectionId, revoke.jobId(), revoke.taskIndex(), known.get());
       return;
     }
-    JobLedger kept =
-        jobs.computeIfAbsent(revoke.jobId(), id -> new JobLedger(revoke.admittedAtMs()));
-    if (revoke.epoch() >= kept.epoch()) {
-      kept.raiseEpoch(revoke.epoch());
-      kept.revoke(revoke.taskIndex(), revoke.grantNumber());
+    if (!retiredJobs.containsKey(revoke.jobId())) {
+      JobLedger kept =
+          jobs.computeIfAbsent(revoke.jobId(), id -> new JobLedger(revoke.admittedAtMs()));
+      bar(kept, revoke);
     }
     notStarted(
         connectionId,
@@ -270,7 +272,18 @@
         NotStartedReason.REVOKED);
   }
 
+  private static void bar(JobLedger job, RevokeTask revoke) {
+    if (revoke.epoch() >= job.epoch()) {
+      job.raiseEpoch(revoke.epoch());
+      job.revoke(revoke.taskIndex(), revoke.grantNumber());
+    }
+  }
+
   private void onFenceJob(long connectionId, FenceJob fence) {
+    if (retiredJobs.containsKey(fence.jobId())) {
+      // The outcome stands in the log, so the asker is about to hear that it is late.
+      return;
+    }
     JobLedger job = jobs.computeIfAbsent(fence.jobId(), id -> new JobLedger(fence.admittedAtMs()));
     if (fence.epoch() < job.epoch()) {
       return;
@@ -285,10 +298,19 @@
       JobLedger job = jobs.get(jobId);
       if (job != null) {
         job.retire();
+        shrinkIfOver(jobId, job);
       }
     }
   }
 
+  /** Of a job that is over, only its number and age are kept: they bar every grant for it. */
+  private void shrinkIfOver(long jobId, JobLedger job) {
+    if (job.isRetired() && !job.hasRunningTasks()) {
+      jobs.remove(jobId);
+      retiredJobs.put(jobId, job.admittedAtMs());
+    }
+  }
+
   private void onRunRequest(long connectionId, RunRequest run, long nowMs) {
     Optional<NotStartedReason> refusal = refusalOfNewWork(connectionId, nowMs);
     if (refusal.isPresent()) {
@@ -354,6 +376,7 @@
     JobLedger.Started ended =
         new JobLedger.Started(state, job.isRetired() ? "" : result, ranMicros, 0);
     job.put(task.taskIndex(), ended);
+    shrinkIfOver(task.jobId(), job);
     releaseSlot(task);
     settleCredits(
         OptionalLong.of(job.connectionId()),
--- a/daemon/src/main/java/io/hingehoist/agent/AgentNode.java
+++ b/daemon/src/main/java/io/hingehoist/agent/AgentNode.java
@@ -137,7 +137,7 @@
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       fatal.accept(e);
     }
   }
--- a/daemon/src/main/java/io/hingehoist/entry/AgentLinks.java
+++ b/daemon/src/main/java/io/hingehoist/entry/AgentLinks.java
@@ -2,8 +2,16 @@
 
 import io.hingehoist.message.AgentInfo;
 import io.hingehoist.message.AgentStatus;
+import io.hingehoist.message.CreditGrant;
+import io.hingehoist.message.CreditRecall;
+import io.hingehoist.message.FenceReport;
 import io.hingehoist.message.Hello;
 import io.hingehoist.message.Message;
+import io.hingehoist.message.RunRefused;
+import io.hingehoist.message.RunResponse;
+import io.hingehoist.message.TaskFinished;
+import io.hingehoist.message.TaskNotStarted;
+import io.hingehoist.message.TaskRunning;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.wire.FrameConnection;
 import io.hingehoist.wire.FrameHandler;
@@ -104,6 +112,21 @@
     links.values().forEach(link -> link.frames.close());
   }
 
+  private static boolean isFromAgent(Message message) {
+    return switch (message) {
+      case AgentStatus m -> true;
+      case TaskFinished m -> true;
+      case TaskNotStarted m -> true;
+      case TaskRunning m -> true;
+      case FenceReport m -> true;
+      case RunResponse m -> true;
+      case RunRefused m -> true;
+      case CreditGrant m -> true;
+      case CreditRecall m -> true;
+      default -> false;
+    };
+  }
+
   private final class AgentHandler implements FrameHandler {
     private final String agentId;
 
@@ -113,7 +136,12 @@
 
     @Override
     public void onMessage(FrameConnection connection, Message message) {
-      dispatchThread.execute(() -> receive(connection.id(), message));
+      if (isFromAgent(message)) {
+        dispatchThread.execute(() -> receive(connection.id(), message));
+      } else {
+        metrics.noteBadFrame();
+        connection.close();
+      }
     }
 
     private void receive(long connectionId, Message message) {
--- a/daemon/src/main/java/io/hingehoist/entry/Answers.java
+++ b/daemon/src/main/java/io/hingehoist/entry/Answers.java
@@ -5,10 +5,13 @@
 import jakarta.ws.rs.core.HttpHeaders;
 import jakarta.ws.rs.core.Response;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
 
 /** Static helpers that turn an {@link Answer} into an HTTP response. */
 final class Answers {
   private static final int TOO_MANY_REQUESTS = 429;
+  private static final Executor WRITERS = Executors.newVirtualThreadPerTaskExecutor();
 
   private Answers() {}
 
@@ -16,7 +19,9 @@
   static void send(
       CompletableFuture<Answer> answer, AsyncResponse response, String kind, Metrics metrics) {
     long startNanos = System.nanoTime();
-    answer.whenComplete(
+    // The thread that completes an answer owns the state of the entry: it must not write to
+    // sockets.
+    answer.whenCompleteAsync(
         (value, failure) -> {
           if (failure != null) {
             response.resume(failure);
@@ -29,7 +34,8 @@
             metrics.noteRefusal(refused.cause());
           }
           response.resume(toResponse(value, body));
-        });
+        },
+        WRITERS);
   }
 
   private static AnswerBody toBody(Answer answer) {
--- a/daemon/src/main/java/io/hingehoist/entry/EntryNode.java
+++ b/daemon/src/main/java/io/hingehoist/entry/EntryNode.java
@@ -147,7 +147,7 @@
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       fatal.accept(e);
     }
   }
--- a/daemon/src/main/java/io/hingehoist/entry/Submissions.java
+++ b/daemon/src/main/java/io/hingehoist/entry/Submissions.java
@@ -11,6 +11,9 @@
   /** The most tasks of one job. */
   static final int MAX_TASKS = 1_900;
 
+  /** A week: longer than any retention, so that the log's own limit is the one that counts. */
+  private static final long MAX_DEADLINE_MS = 7L * 24 * 3_600 * 1_000;
+
   private static final String DEFAULT_NAME = "default";
   private static final int MAX_ID_CHARACTERS = 128;
 
@@ -143,6 +146,10 @@
       throw new InvalidFieldException(
           "deadlineAtMs", deadlineAtMs, "later than now, which is " + nowWallMs);
     }
+    if (deadlineAtMs > nowWallMs + MAX_DEADLINE_MS) {
+      throw new InvalidFieldException(
+          "deadlineAtMs", deadlineAtMs, "at most " + (nowWallMs + MAX_DEADLINE_MS));
+    }
     return deadlineAtMs;
   }
 }
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -209,7 +209,7 @@
       journal.close();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-    } catch (IOException | RuntimeException e) {
+    } catch (IOException | RuntimeException | Error e) {
       // After a failed sync nothing is known of the disk: going on could break a promise.
       fatal.accept(e);
     }
