The checks before admission stand in a class of their own

Cause: Dispatcher had grown to 525 lines; why work is refused and when to come back is one subject, and was spread over it.

--- a/core/src/main/java/io/hingehoist/dispatch/Dispatcher.java
+++ b/core/src/main/java/io/hingehoist/dispatch/Dispatcher.java
@@ -43,7 +43,6 @@
   private static final long DRAINING_RETIRE_PERIOD_MS = 100;
 
   private static final long EJECTION_PERIOD_MS = 100;
-  private static final long MIN_RETRY_AFTER_MS = 100;
 
   /** How long a worker is left alone whose backend server took no connection. */
   private static final long UNREACHABLE_PAUSE_MS = 500;
@@ -351,32 +350,11 @@
   public Optional<RequestOutcome.Refused> refusalOf(
       String service, String jobClass, int tasks, long deadlineMs, long nowMs) {
     if (nowMs >= leaseUntilMs) {
-      return refused(RefusalCause.NO_LEASE, "this entry has no fresh lease", 1_000);
+      return AdmissionChecks.refused(
+          RefusalCause.NO_LEASE, "this entry has no fresh lease", AdmissionChecks.RETRY_SOON_MS);
     }
     ServicePolicy policy = policyAt(SettingsPath.of(service, jobClass, zone));
-    if (!policy.enabled()) {
-      return refused(RefusalCause.DISABLED, "settings have this work disabled", 30_000);
-    }
-    ServicePool pool = pool(service);
-    if (!pool.hasWorkers(nowMs)) {
-      return refused(RefusalCause.NO_WORKERS, "no worker of " + service + " takes work", 1_000);
-    }
-    if (pool.waitingTasks() + tasks > policy.queueTasks() + pool.workers().size()) {
-      return refused(RefusalCause.QUEUE_FULL, "too much work waits", retryAfterMs(service));
-    }
-    double neededMs = pool.estimatedTimeMs(tasks, nowMs);
-    if (nowMs + neededMs > deadlineMs) {
-      return refused(
-          RefusalCause.DEADLINE,
-          "about %.0f ms are needed and %d ms are left".formatted(neededMs, deadlineMs - nowMs),
-          Math.max(MIN_RETRY_AFTER_MS, (long) (nowMs + neededMs - deadlineMs)));
-    }
-    return Optional.empty();
-  }
-
-  private static Optional<RequestOutcome.Refused> refused(
-      RefusalCause cause, String reason, long retryAfterMs) {
-    return Optional.of(new RequestOutcome.Refused(cause, reason, retryAfterMs));
+    return AdmissionChecks.refusalOf(pool(service), policy, tasks, deadlineMs, nowMs);
   }
 
   /** Counts the tasks of a submission as waiting while its admission is committed. */
@@ -390,7 +368,7 @@
   }
 
   long retryAfterMs(String service) {
-    return Math.max(MIN_RETRY_AFTER_MS, (long) pool(service).estimatedTimeMs(0, 0));
+    return AdmissionChecks.retryAfterMs(pool(service));
   }
 
   // Shared with jobs and requests.
