--- a/core/src/test/java/io/hingehoist/replication/ReplicaTest.java
+++ b/core/src/test/java/io/hingehoist/replication/ReplicaTest.java
@@ -76,6 +76,20 @@
     assertEquals(group.boxes.get(cut).appliedIndex, leader.appliedIndex);
   }
 
+  @Test
+  public void aBoxThatHearsAnotherButNotTheLeaderDisturbsNobody() {
+    ReplicaGroup group = formed();
+    ReplicaGroup.Box leader = group.leader();
+    String other =
+        group.addresses.stream().filter(a -> !a.equals(leader.address)).findFirst().get();
+    group.cut(leader.address, other);
+    group.cut(other, leader.address);
+    long term = leader.replica.term();
+    group.run(3_000);
+    assertTrue(leader.replica.isLeader());
+    assertEquals(leader.replica.term(), term);
+  }
+
   @Test
   public void aReadWaitsForARoundThatAQuorumAnswers() {
     ReplicaGroup group = formed();
