A planned stop is tried with work that outlasts its first second

Cause: ./without stop-waits left "A server is told to stop under load" green: the work of 300 ms tasks ended while the health check was still failing on purpose, so nothing was left to wait for.

Change: tasks of 900 ms, 4.5 s of work on 16 slots.

Whether it now fails without the wait was not run.

--- a/scenarios/src/test/resources/features/7-planned-stop.feature
+++ b/scenarios/src/test/resources/features/7-planned-stop.feature
@@ -3,7 +3,7 @@
 
   Scenario: A server is told to stop under load
     Given a cluster with 2 agents
-    When 10 jobs named load of 8 tasks of 300 ms are submitted at every server
+    When 10 jobs named load of 8 tasks of 900 ms are submitted at every server
     And 10 repeatable requests of 200 ms are sent to server 2
     And at least 1 tasks of job load1 have started
     And server-2 is told to stop
