--- a/benchmark/src/main/java/io/hingehoist/cluster/LocalCluster.java
+++ b/benchmark/src/main/java/io/hingehoist/cluster/LocalCluster.java
@@ -356,12 +356,13 @@
     for (Relay relay : relays.values()) {
       relay.close();
     }
-    reservation.close();
     for (Relay relay : callerRelays.values()) {
       relay.close();
     }
     for (StandInBackend backend : backends.values()) {
       backend.close();
     }
+    // The network is free once nothing of this cluster listens on it any more.
+    reservation.close();
   }
 }
--- a/daemon/src/main/java/io/hingehoist/agent/AgentNode.java
+++ b/daemon/src/main/java/io/hingehoist/agent/AgentNode.java
@@ -1,6 +1,7 @@
 package io.hingehoist.agent;
 
 import io.hingehoist.client.ControlClient;
+import io.hingehoist.client.Leases;
 import io.hingehoist.command.ChangeAgentState;
 import io.hingehoist.command.CommandResult;
 import io.hingehoist.command.MemberRefused;
@@ -48,16 +49,12 @@
  */
 public final class AgentNode implements AutoCloseable {
   private static final Logger LOG = Logger.getLogger(AgentNode.class);
-  private static final int PROTOCOL_VERSION = 1;
   private static final int MAX_QUEUED_FRAMES = 4_096;
   private static final long HEARTBEAT_MS = 500;
   private static final long POLL_MS = 50;
   private static final long LAST_WORD_MS = 2_000;
   private static final long REHEARSAL_MS = 2_000;
 
-  /** Leases are taken a twentieth shorter, in case two clocks run at different rates. */
-  private static final long LEASE_MARGIN_DIVISOR = 20;
-
   private final NodeSection node;
   private final AgentSection settings;
   private final Metrics metrics;
@@ -90,7 +87,8 @@
     long incarnation = System.currentTimeMillis();
     this.ledger = TaskLedger.create(node.nodeId(), incarnation, settings.slots());
     this.backend = BackendClient.create(settings.backendUrl(), settings.connections());
-    Hello hello = new Hello(Role.AGENT, node.nodeId(), incarnation, "", PROTOCOL_VERSION);
+    Hello hello =
+        new Hello(Role.AGENT, node.nodeId(), incarnation, "", FrameConnection.PROTOCOL_VERSION);
     this.control =
         ControlClient.create(
             node.controlAddresses(), settings.listenAddress(), hello, metrics, threads);
@@ -187,8 +185,7 @@
       register();
       return;
     }
-    long leaseMs = response.leaseMs() - response.leaseMs() / LEASE_MARGIN_DIVISOR;
-    ledger.onLease(sentAtMs + leaseMs, response.floorMs());
+    ledger.onLease(Leases.untilMs(response, sentAtMs), response.floorMs());
     boolean draining = stopping || response.state() != MemberState.LIVE;
     if (draining != ledger.isDraining()) {
       setDraining(draining);
@@ -223,7 +220,7 @@
     registering = false;
     heartbeatSentAtMs = 0;
     if (result instanceof MemberRefused refused) {
-      long next = Math.max(System.currentTimeMillis(), refused.currentIncarnation() + 1);
+      long next = Leases.nextIncarnation(refused);
       ledger.renew(next);
       LOG.infof("event=incarnationRenewed agent=%s incarnation=%d", node.nodeId(), next);
       tellEntries();
@@ -306,7 +303,8 @@
     }
 
     private static boolean isWelcome(Hello hello) {
-      return hello.role() == Role.ENTRY && hello.protocolVersion() == PROTOCOL_VERSION;
+      return hello.role() == Role.ENTRY
+          && hello.protocolVersion() == FrameConnection.PROTOCOL_VERSION;
     }
 
     private void onConnected(FrameConnection connection) {
--- a/daemon/src/main/java/io/hingehoist/daemon/AgentProcess.java
+++ b/daemon/src/main/java/io/hingehoist/daemon/AgentProcess.java
@@ -26,7 +26,7 @@
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(agent), "stop"));
   }
 
-  /** Runs an agent for a moment, with a metrics server, so that its classes are loaded. */
+  /** Runs an agent for a moment, so that its classes are loaded. */
   static void rehearse(DaemonSettings settings) throws IOException {
     Logs.configure(settings.node());
     Metrics metrics = Metrics.create();
--- a/daemon/src/main/java/io/hingehoist/entry/ControlSession.java
+++ b/daemon/src/main/java/io/hingehoist/entry/ControlSession.java
@@ -1,6 +1,7 @@
 package io.hingehoist.entry;
 
 import io.hingehoist.client.ControlClient;
+import io.hingehoist.client.Leases;
 import io.hingehoist.command.CommandResult;
 import io.hingehoist.command.MemberRefused;
 import io.hingehoist.command.RegisterEntry;
@@ -24,9 +25,6 @@
   private static final Logger LOG = Logger.getLogger(ControlSession.class);
   private static final long HEARTBEAT_MS = 250;
 
-  /** Leases are taken a twentieth shorter, in case two clocks run at different rates. */
-  private static final long LEASE_MARGIN_DIVISOR = 20;
-
   /** Takes what the control replicas say, on the dispatch thread. */
   interface Listener {
     void onSettings(SettingsTree tree);
@@ -127,8 +125,7 @@
       register();
       return;
     }
-    long leaseMs = response.leaseMs() - response.leaseMs() / LEASE_MARGIN_DIVISOR;
-    listener.onLease(requestSentAtMs + leaseMs, response.floorMs());
+    listener.onLease(Leases.untilMs(response, requestSentAtMs), response.floorMs());
     response.adopted().forEach(listener::onAdopted);
   }
 
@@ -163,7 +160,7 @@
     registering = false;
     sentAtMs = 0;
     if (result instanceof MemberRefused refused) {
-      incarnation = Math.max(System.currentTimeMillis(), refused.currentIncarnation() + 1);
+      incarnation = Leases.nextIncarnation(refused);
       LOG.infof("event=incarnationRenewed entry=%s incarnation=%d", entryId, incarnation);
       listener.onIncarnationEnded();
     }
--- a/daemon/src/main/java/io/hingehoist/entry/EntryNode.java
+++ b/daemon/src/main/java/io/hingehoist/entry/EntryNode.java
@@ -22,6 +22,7 @@
 import io.hingehoist.settings.ServicePolicy;
 import io.hingehoist.settings.SettingsPath;
 import io.hingehoist.settings.SettingsTree;
+import io.hingehoist.wire.FrameConnection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,7 +43,6 @@
  */
 public final class EntryNode implements AutoCloseable {
   private static final Logger LOG = Logger.getLogger(EntryNode.class);
-  private static final int PROTOCOL_VERSION = 1;
   private static final long POLL_MS = 5;
   private static final long REPORT_TIMEOUT_MS = 3_000;
   private static final long SETTLE_POLL_MS = 20;
@@ -82,7 +82,7 @@
     this.node = node;
     this.settings = settings;
     this.metrics = metrics;
-    Hello hello = new Hello(Role.ENTRY, node.nodeId(), 0, "", PROTOCOL_VERSION);
+    Hello hello = new Hello(Role.ENTRY, node.nodeId(), 0, "", FrameConnection.PROTOCOL_VERSION);
     this.control =
         ControlClient.create(
             node.controlAddresses(), settings.httpAddress(), hello, metrics, threads);
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -69,7 +69,6 @@
   private static final Logger LOG = Logger.getLogger(ControlNode.class);
   private static final int MAX_BATCH = 1_000;
   private static final int MAX_QUEUED_FRAMES = 32_768;
-  private static final int PROTOCOL_VERSION = 1;
   private static final long TICK_MS = 10;
   private static final long CLOCK_PERIOD_MS = 5_000;
   private static final long REPROPOSE_MS = 1_000;
@@ -125,7 +124,7 @@
             nowMs());
     this.liveness = Liveness.create(settings.memberTimeoutMs());
     this.requests = new ClientRequests(() -> state, replica, settings.leaseMs());
-    Hello hello = new Hello(Role.CONTROL, replica.id(), 0, "", PROTOCOL_VERSION);
+    Hello hello = new Hello(Role.CONTROL, replica.id(), 0, "", FrameConnection.PROTOCOL_VERSION);
     for (String address : node.controlAddresses()) {
       if (!address.equals(settings.listenAddress())) {
         links.put(
@@ -499,7 +498,8 @@
     }
 
     private void greet(FrameConnection connection, Message message) {
-      if (message instanceof Hello greeting && greeting.protocolVersion() == PROTOCOL_VERSION) {
+      if (message instanceof Hello greeting
+          && greeting.protocolVersion() == FrameConnection.PROTOCOL_VERSION) {
         hello = greeting;
       } else {
         metrics.noteBadFrame();
--- a/daemon/src/main/java/io/hingehoist/wire/FrameConnection.java
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameConnection.java
@@ -22,6 +22,9 @@
  * that reads so slowly that the queue fills up: it has to catch up on a new connection.
  */
 public final class FrameConnection implements AutoCloseable {
+  /** The version of the messages; processes of different versions do not talk to each other. */
+  public static final int PROTOCOL_VERSION = 1;
+
   /** The longest frame, in bytes. */
   public static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
