--- a/core/src/main/java/io/hingehoist/control/ControlState.java
+++ b/core/src/main/java/io/hingehoist/control/ControlState.java
@@ -16,6 +16,7 @@
 import io.hingehoist.command.MemberAccepted;
 import io.hingehoist.command.OutcomeCommitted;
 import io.hingehoist.command.OutcomeStale;
+import io.hingehoist.command.PublishDocument;
 import io.hingehoist.command.RefusalReason;
 import io.hingehoist.command.RegisterAgent;
 import io.hingehoist.command.RegisterEntry;
@@ -30,6 +31,7 @@
 import io.hingehoist.state.AnsweredChangeRow;
 import io.hingehoist.state.AuditRow;
 import io.hingehoist.state.ClockRow;
+import io.hingehoist.state.DocumentRow;
 import io.hingehoist.state.EndedAgentRow;
 import io.hingehoist.state.EntryRow;
 import io.hingehoist.state.JobRow;
@@ -59,6 +61,7 @@
   private static final long INITIAL_RETENTION_MS = 600_000;
 
   private final AuditTrail audit = new AuditTrail();
+  private final DocumentTable documents = new DocumentTable();
   private final JobTable jobs = new JobTable();
   private final MemberTable members = new MemberTable(audit);
   private final SettingsTable settings = new SettingsTable(audit);
@@ -88,6 +91,7 @@
       case ChangeAgentState command -> members.apply(command, entry.index(), clockMs);
       case ChangeSettings command -> settings.apply(command, clockMs);
       case AdvanceClock command -> advanceClock(command);
+      case PublishDocument command -> documents.apply(command);
     };
   }
 
@@ -319,6 +323,16 @@
         .toList();
   }
 
+  /** Returns the documents. */
+  public Collection<DocumentRow> documents() {
+    return documents.rows();
+  }
+
+  /** Returns the version of a document that holds. */
+  public Optional<DocumentRow> document(String name) {
+    return documents.find(name);
+  }
+
   /** Returns the audit trail, oldest line first. */
   public List<AuditRow> audit() {
     return audit.rows();
@@ -335,6 +349,7 @@
         out);
     settings.writeTo(row -> write(row, out));
     members.writeTo(row -> write(row, out));
+    documents.writeTo(row -> write(row, out));
     jobs.writeTo(row -> write(row, out));
     audit.rows().forEach(row -> write(row, out));
     return Bytes.copyOf(buffer.toByteArray());
@@ -372,6 +387,7 @@
       case RevisionRow row -> settings.restore(row);
       case AnsweredChangeRow row -> settings.restore(row);
       case AuditRow row -> audit.restore(row);
+      case DocumentRow row -> documents.restore(row);
     }
   }
 
--- a/core/src/main/java/io/hingehoist/replication/Leadership.java
+++ b/core/src/main/java/io/hingehoist/replication/Leadership.java
@@ -11,6 +11,7 @@
 import io.hingehoist.message.SnapshotChunk;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -30,6 +31,9 @@
   /** A learner this close to the end of the log may become a voter. */
   private static final long CAUGHT_UP_ENTRIES = 100;
 
+  /** A voter that is silent for so many election timeouts makes room for a learner elsewhere. */
+  private static final long REPLACE_AFTER_TIMEOUTS = 3;
+
   private record Read(long token, long round) {}
 
   private final Replica replica;
@@ -259,9 +263,9 @@
 
   /**
    * Returns the next single change of voters that is due: a caught-up learner takes the place of a
-   * silent voter at its own address, or an empty place.
+   * silent voter at its own address, an empty place, or that of a voter that is long silent.
    */
-  Optional<ReplicaSet> dueVoterChange(int placeCount, long nowMs) {
+  Optional<ReplicaSet> dueVoterChange(int voterCount, long nowMs) {
     boolean settled =
         replica.commitIndex() >= log.votersIndex() && replica.commitIndex() >= termStartIndex;
     if (!settled) {
@@ -273,7 +277,7 @@
       if (learner.matchIndex == 0 || !caughtUp || !inContact) {
         continue;
       }
-      Optional<ReplicaSet> change = changeFor(learner, placeCount, nowMs);
+      Optional<ReplicaSet> change = changeFor(learner, voterCount, nowMs);
       if (change.isPresent()) {
         return change;
       }
@@ -281,7 +285,7 @@
     return Optional.empty();
   }
 
-  private Optional<ReplicaSet> changeFor(Progress learner, int placeCount, long nowMs) {
+  private Optional<ReplicaSet> changeFor(Progress learner, int voterCount, long nowMs) {
     List<ReplicaInfo> next = new ArrayList<>(log.voters().voters());
     Optional<Progress> sameAddress =
         voters.values().stream().filter(p -> p.address.equals(learner.address)).findFirst();
@@ -293,13 +297,26 @@
       next.removeIf(voter -> voter.replicaId().equals(replaced.replicaId));
       return Optional.of(new ReplicaSet(next));
     }
-    if (next.size() >= placeCount) {
-      return Optional.empty();
+    if (next.size() >= voterCount) {
+      return withoutSilent(next, nowMs);
     }
     next.add(new ReplicaInfo(learner.replicaId, learner.address));
     return Optional.of(new ReplicaSet(next));
   }
 
+  /** Makes a place for a learner by removing the voter that has been silent for longest. */
+  private Optional<ReplicaSet> withoutSilent(List<ReplicaInfo> next, long nowMs) {
+    Optional<Progress> silent =
+        voters.values().stream()
+            .filter(p -> nowMs - p.lastAckMs >= REPLACE_AFTER_TIMEOUTS * timing.electionTimeoutMs())
+            .min(Comparator.comparingLong(p -> p.lastAckMs));
+    if (silent.isEmpty()) {
+      return Optional.empty();
+    }
+    next.removeIf(voter -> voter.replicaId().equals(silent.get().replicaId));
+    return Optional.of(new ReplicaSet(next));
+  }
+
   /** Returns the learners' identities, for reports. */
   List<ReplicaInfo> learners() {
     return learners.values().stream().map(p -> new ReplicaInfo(p.replicaId, p.address)).toList();
--- a/core/src/main/java/io/hingehoist/replication/Replica.java
+++ b/core/src/main/java/io/hingehoist/replication/Replica.java
@@ -36,10 +36,11 @@
 
   private final String id;
   private final String address;
-  private final List<String> placeAddresses;
+  private final int voterCount;
   private final ReplicaTiming timing;
   private final RandomGenerator random;
   private final ReplicatedLog log;
+  private List<String> knownAddresses;
   private final List<ReplicaEffect> effects = new ArrayList<>();
 
   private String clusterId;
@@ -61,7 +62,8 @@
       String id,
       String address,
       String clusterId,
-      List<String> placeAddresses,
+      List<String> knownAddresses,
+      int voterCount,
       ReplicaTiming timing,
       RandomGenerator random,
       DurableState durable,
@@ -69,7 +71,8 @@
     this.id = id;
     this.address = address;
     this.clusterId = clusterId;
-    this.placeAddresses = List.copyOf(placeAddresses);
+    this.knownAddresses = List.copyOf(knownAddresses);
+    this.voterCount = voterCount;
     this.timing = timing;
     this.random = random;
     this.term = durable.term();
@@ -87,13 +90,15 @@
    * @param id the identity that stands on its disk
    * @param address where other replicas reach it
    * @param clusterId the cluster that its disk belongs to; empty for a blank disk
-   * @param placeAddresses the addresses of all replicas that there should be
+   * @param knownAddresses the addresses of other replicas, or of all
+   * @param voterCount the number of voters that there should be
    */
   public static Replica create(
       String id,
       String address,
       String clusterId,
-      List<String> placeAddresses,
+      List<String> knownAddresses,
+      int voterCount,
       ReplicaTiming timing,
       RandomGenerator random,
       DurableState durable,
@@ -101,7 +106,8 @@
     if (id.isEmpty()) {
       throw new IllegalArgumentException("a replica needs an identity");
     }
-    return new Replica(id, address, clusterId, placeAddresses, timing, random, durable, nowMs);
+    return new Replica(
+        id, address, clusterId, knownAddresses, voterCount, timing, random, durable, nowMs);
   }
 
   /** Returns the first entry of a new cluster: a configuration with one voter. */
@@ -111,6 +117,11 @@
     return new LogEntry(1, 1, EntryKind.CONFIGURATION, stampedAtMs, body);
   }
 
+  /** Takes note of where replicas are, so that this one can ask to join. */
+  public void knowAddresses(List<String> addresses) {
+    knownAddresses = List.copyOf(addresses);
+  }
+
   /** Takes one event in and returns what is to be done. */
   public List<ReplicaEffect> step(ReplicaEvent event, long nowMs) {
     switch (event) {
@@ -161,7 +172,7 @@
       return;
     }
     leading
-        .dueVoterChange(placeAddresses.size(), nowMs)
+        .dueVoterChange(voterCount, nowMs)
         .ifPresent(
             voters -> {
               appendAsLeader(EntryKind.CONFIGURATION, ReplicatedLog.encodeVoters(voters), 0);
@@ -171,7 +182,7 @@
 
   private void askToJoin() {
     JoinRequest request = new JoinRequest(id, address, clusterId);
-    for (String place : placeAddresses) {
+    for (String place : knownAddresses) {
       if (!place.equals(address)) {
         effects.add(new ReplicaEffect.Send(place, request));
       }
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/route/package-info.java
@@ -0,0 +1,2 @@
+/** Which queue a request belongs to. Begin with {@link io.hingehoist.route.RouteTable}. */
+package io.hingehoist.route;
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/run/HoldAnswer.java
@@ -0,0 +1,35 @@
+package io.hingehoist.run;
+
+import io.hingehoist.message.RunEnd;
+import io.hingehoist.message.RunRef;
+import java.util.List;
+
+/** What a worker says of its runs. */
+public sealed interface HoldAnswer {
+
+  /**
+   * An end that the worker lists.
+   *
+   * @param number counts the ends of one life of the worker, from 1
+   */
+  record Ended(long number, RunRef run, RunEnd how) {}
+
+  /** The runs that go on, and the ends after the one that was last taken note of. */
+  record Listed(long workerClockMs, List<RunRef> running, List<Ended> ended) implements HoldAnswer {
+
+    /** Copies the lists. */
+    public Listed {
+      running = List.copyOf(running);
+      ended = List.copyOf(ended);
+    }
+  }
+
+  /** The worker did nothing, as the token was lower than one that it has seen. */
+  record Fenced(long workerClockMs) implements HoldAnswer {}
+
+  /** Nothing is known. */
+  record Unanswered() implements HoldAnswer {}
+
+  /** This life of the worker is over. */
+  record Gone() implements HoldAnswer {}
+}
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/run/HostEffect.java
@@ -0,0 +1,41 @@
+package io.hingehoist.run;
+
+import io.hingehoist.message.Message;
+import io.hingehoist.message.RunRef;
+
+/** Something that a {@link WorkerHost} asks its surroundings to do, in order. */
+public sealed interface HostEffect {
+
+  /**
+   * Orders a run at a worker; the answer comes back by {@link WorkerHost#startAnswered}.
+   *
+   * @param deadlineMs the end of the worker's lease, by the worker's clock
+   */
+  record CallStart(
+      String workerId, String address, RunRef run, String spec, long deadlineMs, long token)
+      implements HostEffect {}
+
+  /** Stops a run at a worker; the answer comes back by {@link WorkerHost#stopAnswered}. */
+  record CallStop(String workerId, String address, RunRef run, long token) implements HostEffect {}
+
+  /**
+   * Renews the lease of a worker and asks for its runs; the answer comes back by {@link
+   * WorkerHost#holdAnswered}.
+   *
+   * @param deadlineMs the end of the lease, by the worker's clock; 0 leaves it as it is
+   * @param lastSeen the number up to which ends are taken note of
+   * @param waitMs the time that the worker may wait for an end
+   */
+  record CallHold(
+      String workerId, String address, long deadlineMs, long token, long lastSeen, long waitMs)
+      implements HostEffect {}
+
+  /** Sends a message to an owner. */
+  record ToOwner(long sessionId, Message message) implements HostEffect {}
+
+  /** Closes an owner's session. */
+  record CloseSession(long sessionId) implements HostEffect {}
+
+  /** Writes a decision to the log. */
+  record Noted(Decision decision) implements HostEffect {}
+}
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/run/HostView.java
@@ -0,0 +1,45 @@
+package io.hingehoist.run;
+
+import io.hingehoist.message.HostRows;
+import io.hingehoist.message.WorkerRow;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** One host as an owner sees it while a session with it is open. Owned by {@link JobOwner}. */
+final class HostView {
+  final String hostId;
+  final long incarnation;
+  private final Map<String, WorkerView> workers = new LinkedHashMap<>();
+  private long lastOrder;
+
+  HostView(String hostId, long incarnation) {
+    this.hostId = hostId;
+    this.incarnation = incarnation;
+  }
+
+  long nextOrder() {
+    return ++lastOrder;
+  }
+
+  void update(HostRows rows) {
+    List<String> present = new ArrayList<>();
+    for (WorkerRow row : rows.workers()) {
+      present.add(row.workerId());
+      WorkerView view = workers.computeIfAbsent(row.workerId(), id -> new WorkerView(hostId, row));
+      view.update(row, rows.lastOrder());
+    }
+    workers.keySet().retainAll(present);
+  }
+
+  Collection<WorkerView> workers() {
+    return workers.values();
+  }
+
+  Optional<WorkerView> worker(String workerId) {
+    return Optional.ofNullable(workers.get(workerId));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/run/HostedRun.java
@@ -0,0 +1,34 @@
+package io.hingehoist.run;
+
+import io.hingehoist.message.Room;
+import io.hingehoist.message.RunRef;
+
+/** One run at a worker, from its order until it is provably over. Owned by {@link WorkerHost}. */
+final class HostedRun {
+  enum State {
+    /** The order has no answer yet. */
+    ORDERED,
+    /** The worker runs it. */
+    RUNNING,
+    /** A stop was ordered, and the end is not listed yet. */
+    STOPPING,
+    /** The stop was answered; the next list shows whether anything is there. */
+    STOPPED
+  }
+
+  final RunRef run;
+  final Room need;
+  final String spec;
+  final long sessionId;
+  State state = State.ORDERED;
+  long orderedAtMs;
+  long stopSentAtMs;
+
+  HostedRun(RunRef run, Room need, String spec, long sessionId, long nowMs) {
+    this.run = run;
+    this.need = need;
+    this.spec = spec;
+    this.sessionId = sessionId;
+    this.orderedAtMs = nowMs;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/run/JobOwner.java
@@ -0,0 +1,354 @@
+package io.hingehoist.run;
+
+import io.hingehoist.message.HostRows;
+import io.hingehoist.message.RunEnd;
+import io.hingehoist.message.RunEnded;
+import io.hingehoist.message.RunNotStarted;
+import io.hingehoist.message.RunRef;
+import io.hingehoist.message.RunRefusal;
+import io.hingehoist.message.StopRun;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * The decisions of an owner: which run of which task is ordered at which worker, when a lost one
+ * may be started again, and when a job is answered.
+ *
+ * <p>Call a method for each event, then {@link #place}, then carry out {@link #takeEffects} in
+ * order. A task has at most one run that is not provably over. Times are milliseconds of a clock
+ * that never goes back. Not thread-safe: one thread owns it.
+ */
+public final class JobOwner {
+  /** After a refused number, the number goes up by this much: another owner used those below. */
+  private static final long NUMBER_STEP = 16;
+
+  private static final long AVOID_MS = 1_000;
+  private static final long RETRY_AFTER_MS = 1_000;
+  private static final int MAX_MISSES_IN_A_PASS = 64;
+
+  /** A run is moved when it takes this many times as long as expected, on a slow worker. */
+  private static final double STRAGGLER_FACTOR = 2.5;
+
+  private static final long STRAGGLER_MIN_MS = 100;
+
+  private static final Comparator<OwnedTask> ORDER =
+      Comparator.<OwnedTask>comparingInt(task -> task.job.plan.priority())
+          .thenComparingLong(task -> task.job.number)
+          .thenComparing(task -> task.name);
+
+  private final RunTiming timing;
+  private final SpeedTable speeds = new SpeedTable();
+  private final WorkerChoice choice = new WorkerChoice(speeds);
+  private final Map<String, HostView> hosts = new LinkedHashMap<>();
+  private final Map<String, OwnedJob> jobs = new LinkedHashMap<>();
+  private final Map<String, OwnedTask> active = new HashMap<>();
+  private final TreeSet<OwnedTask> queue = new TreeSet<>(ORDER);
+  private final List<OwnerEffect> effects = new ArrayList<>();
+  private long jobNumber;
+
+  private JobOwner(RunTiming timing) {
+    this.timing = timing;
+  }
+
+  /** Creates an owner of no jobs. */
+  public static JobOwner create(RunTiming timing) {
+    return new JobOwner(timing);
+  }
+
+  /** Returns what is to be done since the last call, in order. */
+  public List<OwnerEffect> takeEffects() {
+    List<OwnerEffect> taken = List.copyOf(effects);
+    effects.clear();
+    return taken;
+  }
+
+  // Callers.
+
+  /** Takes a job. Returns whether it is new; one that is here already goes on as it is. */
+  public boolean submit(JobPlan plan, long nowMs) {
+    if (jobs.containsKey(plan.jobId())) {
+      return false;
+    }
+    OwnedJob job = new OwnedJob(plan, nowMs, ++jobNumber);
+    jobs.put(plan.jobId(), job);
+    queue.addAll(job.takeFreed());
+    note("jobTaken", plan.jobId(), "", plan.queue(), "priority=" + plan.priority());
+    return true;
+  }
+
+  /** Drops a job whose caller is gone, and stops its runs. */
+  public void abandon(String jobId, String reason) {
+    OwnedJob job = jobs.get(jobId);
+    if (job != null) {
+      end(job, new JobEnd.Dropped(reason));
+    }
+  }
+
+  /** Ends a job on its caller's word. Returns whether there was one. */
+  public boolean cancel(String jobId) {
+    OwnedJob job = jobs.get(jobId);
+    if (job == null) {
+      return false;
+    }
+    end(job, new JobEnd.Failed("cancelled"));
+    return true;
+  }
+
+  /**
+   * Drops every job: this owner stood still for so long that its hosts have stopped its runs, and
+   * its callers may have gone to another owner.
+   */
+  public void dropAll(String reason) {
+    for (OwnedJob job : List.copyOf(jobs.values())) {
+      end(job, new JobEnd.Dropped(reason));
+    }
+  }
+
+  /** Returns the number of jobs of a queue none of whose tasks was started. */
+  public long pendingCount(String queueName) {
+    return jobs.values().stream()
+        .filter(job -> !job.mayHaveStarted() && job.plan.queue().equals(queueName))
+        .count();
+  }
+
+  /** Returns the number of jobs that are not answered. */
+  public int jobCount() {
+    return jobs.size();
+  }
+
+  /** Returns the number of tasks that wait for room. */
+  public int queuedCount() {
+    return queue.size();
+  }
+
+  /** Returns the number of runs that are ordered and not known to be over. */
+  public int activeCount() {
+    return active.size();
+  }
+
+  /** Returns whether a worker is known that takes runs. */
+  public boolean hasReadyWorker(long nowMs) {
+    return hosts.values().stream()
+        .flatMap(host -> host.workers().stream())
+        .anyMatch(worker -> worker.takesRuns(nowMs));
+  }
+
+  // Hosts.
+
+  /** Notes an open session: no run that was ordered at the host before is going on. */
+  public void sessionOpened(String hostId, long incarnation) {
+    hosts.put(hostId, new HostView(hostId, incarnation));
+    note("hostFound", "", "", hostId, "incarnation=" + incarnation);
+    for (OwnedTask task : List.copyOf(active.values())) {
+      if (task.hostId.equals(hostId)) {
+        requeue(task, "sessionOpened");
+      }
+    }
+  }
+
+  /**
+   * Notes that a session broke or fell silent.
+   *
+   * @param silent whether this owner gave up a host that may still hear it
+   */
+  public void sessionLost(String hostId, boolean silent, long nowMs) {
+    if (hosts.remove(hostId) == null) {
+      return;
+    }
+    long overAfterMs = silent ? timing.overAfterSilenceMs() : timing.overAfterBreakMs();
+    note("hostLost", "", "", hostId, "silent=" + silent + " runsOverAfterMs=" + overAfterMs);
+    for (OwnedTask task : active.values()) {
+      if (task.hostId.equals(hostId) && task.state == OwnedTask.State.ORDERED) {
+        task.state = OwnedTask.State.UNCERTAIN;
+        task.uncertainUntilMs = nowMs + overAfterMs;
+      }
+    }
+  }
+
+  /** Takes what a host shows of its workers. */
+  public void hostRows(String hostId, HostRows rows) {
+    HostView host = hosts.get(hostId);
+    if (host != null) {
+      host.update(rows);
+    }
+  }
+
+  /** Takes a host's word that a run did not start. */
+  public void runNotStarted(String hostId, RunNotStarted report, long nowMs) {
+    OwnedTask task = find(hostId, report.run());
+    if (task == null) {
+      return;
+    }
+    task.job.possibleStarts--;
+    switch (report.reason()) {
+      case ROOM, NOT_READY -> {}
+      case OLD_NUMBER -> task.runNumber += NUMBER_STEP;
+      case INVALID -> task.failures++;
+      case UNHEALTHY -> view(task).ifPresent(worker -> worker.avoidUntil(nowMs + AVOID_MS));
+    }
+    if (task.failures >= task.job.plan.attempts()) {
+      active.remove(task.name);
+      end(task.job, new JobEnd.Failed("refused by workers"));
+      return;
+    }
+    requeue(task, report.reason() == RunRefusal.ROOM ? "" : report.reason().name());
+  }
+
+  private Optional<WorkerView> view(OwnedTask task) {
+    HostView host = hosts.get(task.hostId);
+    return host == null ? Optional.empty() : host.worker(task.workerId);
+  }
+
+  /** Takes a host's word that a run is over. */
+  public void runEnded(String hostId, RunEnded report, long nowMs) {
+    OwnedTask task = find(hostId, report.run());
+    if (task == null) {
+      return;
+    }
+    switch (report.end()) {
+      case DONE -> done(task, report.ranMs(), nowMs);
+      case FAILED -> failed(task);
+      case STOPPED, LAPSED, BROKEN, ALONE, LOST -> requeue(task, report.end().name());
+    }
+  }
+
+  private OwnedTask find(String hostId, RunRef run) {
+    OwnedTask task = active.get(run.task());
+    boolean current = task != null && task.hostId.equals(hostId) && task.runNumber == run.number();
+    return current ? task : null;
+  }
+
+  private void done(OwnedTask task, long ranMs, long nowMs) {
+    active.remove(task.name);
+    task.state = OwnedTask.State.DONE;
+    speeds.noteRun(task.workerId, ranMs, task.plan().estimateMs(), nowMs);
+    OwnedJob job = task.job;
+    job.noteDone(task);
+    if (job.isComplete()) {
+      end(job, new JobEnd.Completed());
+    } else {
+      queue.addAll(job.takeFreed());
+    }
+  }
+
+  private void failed(OwnedTask task) {
+    // A worker that fails everything says nothing of the task.
+    boolean counts = view(task).map(worker -> !worker.isFailing()).orElse(true);
+    if (counts) {
+      task.failures++;
+    }
+    task.avoidedWorkerId = task.workerId;
+    if (task.failures >= task.job.plan.attempts()) {
+      active.remove(task.name);
+      end(task.job, new JobEnd.Failed("task " + task.name + " failed " + task.failures + " times"));
+    } else {
+      requeue(task, RunEnd.FAILED.name());
+    }
+  }
+
+  private void requeue(OwnedTask task, String reason) {
+    active.remove(task.name);
+    task.state = OwnedTask.State.QUEUED;
+    task.stopSent = false;
+    queue.add(task);
+    if (!reason.isEmpty()) {
+      note("runAgain", task.job.plan.jobId(), task.name, task.workerId, "reason=" + reason);
+    }
+  }
+
+  private void end(OwnedJob job, JobEnd end) {
+    jobs.remove(job.plan.jobId());
+    for (List<OwnedTask> step : job.steps) {
+      for (OwnedTask task : step) {
+        queue.remove(task);
+        if (task.state == OwnedTask.State.ORDERED && active.remove(task.name) != null) {
+          stop(task);
+        }
+        active.remove(task.name);
+      }
+    }
+    effects.add(new OwnerEffect.Answer(job.plan.jobId(), end));
+  }
+
+  private void stop(OwnedTask task) {
+    if (!task.stopSent && hosts.containsKey(task.hostId)) {
+      task.stopSent = true;
+      effects.add(new OwnerEffect.ToHost(task.hostId, new StopRun(task.run())));
+    }
+  }
+
+  // Time.
+
+  /** Does what the time has made due. */
+  public void onTick(long nowMs) {
+    for (OwnedTask task : List.copyOf(active.values())) {
+      if (task.state == OwnedTask.State.UNCERTAIN && nowMs >= task.uncertainUntilMs) {
+        requeue(task, "provablyOver");
+      } else if (task.state == OwnedTask.State.ORDERED) {
+        checkProgress(task, nowMs);
+      }
+    }
+    for (OwnedJob job : List.copyOf(jobs.values())) {
+      boolean worthless = nowMs - job.takenAtMs >= job.plan.worthlessAfterMs();
+      if (worthless && !job.mayHaveStarted()) {
+        end(job, new JobEnd.Refused("no room in time", RETRY_AFTER_MS));
+      }
+    }
+  }
+
+  private void checkProgress(OwnedTask task, long nowMs) {
+    long ranMs = nowMs - task.orderedAtMs;
+    double expectedMs = speeds.expectedMs(task.plan().estimateMs());
+    if (ranMs < STRAGGLER_MIN_MS || ranMs < STRAGGLER_FACTOR * expectedMs) {
+      return;
+    }
+    speeds.noteOverdue(task.workerId, ranMs, task.plan().estimateMs(), nowMs);
+    boolean slow = view(task).map(worker -> choice.isSlow(worker, nowMs)).orElse(false);
+    if (slow && !task.stopSent && choice.choose(task, hosts.values(), nowMs).isPresent()) {
+      note("runMoved", task.job.plan.jobId(), task.name, task.workerId, "ranMs=" + ranMs);
+      task.avoidedWorkerId = task.workerId;
+      stop(task);
+    }
+  }
+
+  /** Orders runs for the tasks that wait, best priority first, as far as there is room. */
+  public void place(long nowMs) {
+    List<OwnedTask> placed = new ArrayList<>();
+    OrderBatch batch = new OrderBatch();
+    int misses = 0;
+    for (OwnedTask task : queue) {
+      Optional<WorkerView> worker = choice.choose(task, hosts.values(), nowMs);
+      if (worker.isPresent()) {
+        order(task, worker.get(), batch, nowMs);
+        placed.add(task);
+      } else if (++misses >= MAX_MISSES_IN_A_PASS) {
+        break;
+      }
+    }
+    placed.forEach(queue::remove);
+    batch.emit((hostId, order) -> effects.add(new OwnerEffect.ToHost(hostId, order)));
+  }
+
+  private void order(OwnedTask task, WorkerView worker, OrderBatch batch, long nowMs) {
+    task.state = OwnedTask.State.ORDERED;
+    task.runNumber++;
+    task.hostId = worker.hostId;
+    task.workerId = worker.row().workerId();
+    task.orderedAtMs = nowMs;
+    task.stopSent = false;
+    task.job.possibleStarts++;
+    active.put(task.name, task);
+    long order = batch.add(task, hosts.get(worker.hostId));
+    worker.noteOrder(order, task.plan().need());
+  }
+
+  private void note(String event, String job, String task, String where, String outcome) {
+    effects.add(new OwnerEffect.Noted(new Decision(event, job, task, where, outcome)));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/run/OrderBatch.java
@@ -0,0 +1,54 @@
+package io.hingehoist.run;
+
+import io.hingehoist.message.RunRef;
+import io.hingehoist.message.StartRuns;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/** Gathers the runs of one pass, so that those of one step on one worker go out as one order. */
+final class OrderBatch {
+  private record Key(String workerId, OwnedJob job, int step) {}
+
+  private static final class Group {
+    private final HostView host;
+    private final long order;
+    private final List<RunRef> runs = new ArrayList<>();
+
+    private Group(HostView host, long order) {
+      this.host = host;
+      this.order = order;
+    }
+  }
+
+  private final Map<Key, Group> groups = new LinkedHashMap<>();
+
+  /**
+   * Adds a task that was given to a worker, and returns the number of the order that carries it.
+   */
+  long add(OwnedTask task, HostView host) {
+    Key key = new Key(task.workerId, task.job, task.step);
+    Group group = groups.computeIfAbsent(key, k -> new Group(host, host.nextOrder()));
+    group.runs.add(task.run());
+    return group.order;
+  }
+
+  void emit(BiConsumer<String, StartRuns> out) {
+    groups.forEach((key, group) -> out.accept(group.host.hostId, toOrder(key, group)));
+  }
+
+  private static StartRuns toOrder(Key key, Group group) {
+    JobPlan job = key.job().plan;
+    StepPlan step = job.steps().get(key.step());
+    return new StartRuns(
+        group.order,
+        key.workerId(),
+        job.jobId(),
+        job.spec(),
+        step.estimateMs(),
+        step.need(),
+        group.runs);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/run/OwnerEffect.java
@@ -0,0 +1,16 @@
+package io.hingehoist.run;
+
+import io.hingehoist.message.Message;
+
+/** Something that a {@link JobOwner} asks its surroundings to do, in order. */
+public sealed interface OwnerEffect {
+
+  /** Sends a message to a host on its open session. */
+  record ToHost(String hostId, Message message) implements OwnerEffect {}
+
+  /** Answers everyone who waits for a job. */
+  record Answer(String jobId, JobEnd end) implements OwnerEffect {}
+
+  /** Writes a decision to the log. */
+  record Noted(Decision decision) implements OwnerEffect {}
+}
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/run/StartAnswer.java
@@ -0,0 +1,25 @@
+package io.hingehoist.run;
+
+import io.hingehoist.message.RunRefusal;
+
+/** What became of an order to a worker. */
+public sealed interface StartAnswer {
+
+  /** The run is there. */
+  record Started(long workerClockMs) implements StartAnswer {}
+
+  /** The worker did nothing, as the token was lower than one that it has seen. */
+  record Fenced(long workerClockMs) implements StartAnswer {}
+
+  /** The worker did nothing, as the deadline had passed by its clock. */
+  record Late(long workerClockMs) implements StartAnswer {}
+
+  /** The worker did nothing, and says why. */
+  record Refused(RunRefusal reason) implements StartAnswer {}
+
+  /** Nothing is known: the order may be carried out, now or later. */
+  record Unanswered() implements StartAnswer {}
+
+  /** This life of the worker is over. */
+  record Gone() implements StartAnswer {}
+}
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/run/WorkerChoice.java
@@ -0,0 +1,97 @@
+package io.hingehoist.run;
+
+import java.util.Collection;
+import java.util.Optional;
+
+/**
+ * Chooses the worker for a task: of those with room, the one that keeps the largest share free,
+ * less what its slowness costs.
+ *
+ * <p>Slow and failing workers are left out while most of the service is well; were they most of it,
+ * the fault would be with the work. Not thread-safe: {@link JobOwner} owns it.
+ */
+final class WorkerChoice {
+  /** A worker this many times slower than usual is left out. */
+  static final double TOO_SLOW = 2.5;
+
+  private static final double SLOWNESS_COST = 0.5;
+  private static final double FAR_COST = 0.6;
+  private static final double MAX_LEFT_OUT = 0.4;
+
+  private final SpeedTable speeds;
+
+  WorkerChoice(SpeedTable speeds) {
+    this.speeds = speeds;
+  }
+
+  /** Returns the best worker for a task now; empty if none has room. */
+  Optional<WorkerView> choose(OwnedTask task, Collection<HostView> hosts, long nowMs) {
+    boolean leavesOut = mayLeaveOut(task, hosts, nowMs);
+    WorkerView best = null;
+    double bestScore = Double.NEGATIVE_INFINITY;
+    for (HostView host : hosts) {
+      for (WorkerView worker : host.workers()) {
+        if (isFit(worker, task, leavesOut, nowMs)) {
+          double score = score(worker, task, nowMs);
+          if (score > bestScore) {
+            bestScore = score;
+            best = worker;
+          }
+        }
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private boolean mayLeaveOut(OwnedTask task, Collection<HostView> hosts, long nowMs) {
+    int all = 0;
+    int unwell = 0;
+    for (HostView host : hosts) {
+      for (WorkerView worker : host.workers()) {
+        if (worker.row().service().equals(task.job.plan.service())) {
+          all++;
+          if (worker.isFailing() || isSlow(worker, nowMs)) {
+            unwell++;
+          }
+        }
+      }
+    }
+    return unwell <= all * MAX_LEFT_OUT;
+  }
+
+  boolean isSlow(WorkerView worker, long nowMs) {
+    return speeds.slowness(worker.row().workerId(), nowMs) > TOO_SLOW;
+  }
+
+  private boolean isFit(WorkerView worker, OwnedTask task, boolean leavesOut, long nowMs) {
+    StepPlan step = task.plan();
+    boolean takes = worker.takesRuns(nowMs) || (!leavesOut && worker.isFailing());
+    if (!takes || !worker.row().service().equals(task.job.plan.service())) {
+      return false;
+    }
+    if (!step.requires().isEmpty() && !worker.row().labels().contains(step.requires())) {
+      return false;
+    }
+    if (leavesOut && isSlow(worker, nowMs)) {
+      return false;
+    }
+    if (step.mostPerWorker() > 0
+        && task.job.countOn(worker.row().workerId(), task.step) >= step.mostPerWorker()) {
+      return false;
+    }
+    return Rooms.fits(step.need(), worker.free());
+  }
+
+  private double score(WorkerView worker, OwnedTask task, long nowMs) {
+    StepPlan step = task.plan();
+    double score = Rooms.shareLeft(step.need(), worker.free(), worker.row().capacity());
+    score -= SLOWNESS_COST * (speeds.slowness(worker.row().workerId(), nowMs) - 1);
+    if (!step.near().isEmpty() && !worker.row().labels().contains(step.near())) {
+      score -= FAR_COST;
+    }
+    if (worker.row().workerId().equals(task.avoidedWorkerId)) {
+      score -= 2;
+    }
+    return score;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -0,0 +1,535 @@
+package io.hingehoist.run;
+
+import io.hingehoist.message.HostRows;
+import io.hingehoist.message.RunEnd;
+import io.hingehoist.message.RunEnded;
+import io.hingehoist.message.RunNotStarted;
+import io.hingehoist.message.RunRef;
+import io.hingehoist.message.RunRefusal;
+import io.hingehoist.message.SessionOpened;
+import io.hingehoist.message.StartRuns;
+import io.hingehoist.message.WorkerRow;
+import io.hingehoist.message.WorkerState;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The decisions of a host: whether a run fits its worker, how long workers and owners may go on,
+ * and when a run is provably over.
+ *
+ * <p>The room of a worker is charged from the order of a run until its end is known, so it is never
+ * exceeded. Times are milliseconds of a clock that never goes back. Call a method for each event,
+ * then {@link #showRows}, then carry out {@link #takeEffects} in order. Not thread-safe: one thread
+ * owns it.
+ */
+public final class WorkerHost {
+  private static final long BUSY_WAIT_MS = 200;
+  private static final long IDLE_WAIT_MS = 350;
+  private static final long SILENT_RETRY_MS = 100;
+  private static final long QUICK_HOLD_MS = 2;
+  private static final long STOP_RETRY_MS = 50;
+  private static final long FIRST_TOKEN_JUMP = 1_000;
+
+  private final String hostId;
+  private final long incarnation;
+  private final String zone;
+  private final RunTiming timing;
+  private final long quietAtMs;
+  private final Map<String, WorkerLife> lives = new LinkedHashMap<>();
+  private final Map<Long, OwnerSession> sessions = new LinkedHashMap<>();
+  private final Map<Long, String> endedSessions = new HashMap<>();
+  private final List<HostEffect> effects = new ArrayList<>();
+  private List<WorkerRow> shownRows = List.of();
+  private long token;
+  private long tokenJump = FIRST_TOKEN_JUMP;
+  private boolean stopping;
+
+  private WorkerHost(
+      String hostId, long incarnation, String zone, RunTiming timing, long token, long nowMs) {
+    this.hostId = hostId;
+    this.incarnation = incarnation;
+    this.zone = zone;
+    this.timing = timing;
+    this.token = token;
+    // What the last life of this host had ordered runs on for no longer than its lease.
+    this.quietAtMs = nowMs + timing.workerOverAfterMs();
+  }
+
+  /**
+   * Creates a host that knows no worker yet.
+   *
+   * @param token a number above those that earlier lives of this host used, as far as is known
+   */
+  public static WorkerHost create(
+      String hostId, long incarnation, String zone, RunTiming timing, long token, long nowMs) {
+    return new WorkerHost(hostId, incarnation, zone, timing, token, nowMs);
+  }
+
+  /** Returns what is to be done since the last call, in order. */
+  public List<HostEffect> takeEffects() {
+    List<HostEffect> taken = List.copyOf(effects);
+    effects.clear();
+    return taken;
+  }
+
+  // Workers.
+
+  /** Takes a worker's account of itself. */
+  public void workerSeen(WorkerInfo info, long nowMs) {
+    WorkerLife known = lives.get(info.workerId());
+    if (known == null) {
+      endLivesAt(info.address());
+      WorkerLife life = new WorkerLife(info, timing, nowMs);
+      lives.put(info.workerId(), life);
+      note("workerFound", "", info.workerId(), "service=" + info.service());
+      sendHold(life, nowMs);
+    } else if (known.update(info)) {
+      note("workerDraining", "", info.workerId(), "version=" + info.version());
+    }
+  }
+
+  private void endLivesAt(String address) {
+    for (WorkerLife life : List.copyOf(lives.values())) {
+      if (life.info().address().equals(address)) {
+        endLife(life, "replaced");
+      }
+    }
+  }
+
+  /** Notes that a worker takes its leave; what runs there is over when it stops answering. */
+  public void workerLeaves(String workerId) {
+    WorkerLife life = lives.get(workerId);
+    if (life != null) {
+      WorkerInfo info = life.info();
+      life.update(
+          new WorkerInfo(
+              info.workerId(),
+              info.service(),
+              info.address(),
+              info.zone(),
+              true,
+              info.capacity(),
+              info.labels(),
+              info.version(),
+              info.clockMs()));
+      note("workerLeaves", "", workerId, "");
+    }
+  }
+
+  private void endLife(WorkerLife life, String reason) {
+    lives.remove(life.id());
+    note("workerGone", "", life.id(), "reason=" + reason);
+    life.runs().forEach(run -> over(life, run, RunEnd.LOST));
+  }
+
+  private Optional<WorkerLife> life(String workerId) {
+    return Optional.ofNullable(lives.get(workerId));
+  }
+
+  // Owners.
+
+  /**
+   * Notes a connection of an owner. It counts once every run of the owner's earlier ones is over.
+   */
+  public void sessionBegan(long sessionId, String ownerId, long nowMs) {
+    for (OwnerSession former : List.copyOf(sessions.values())) {
+      if (former.ownerId.equals(ownerId)) {
+        effects.add(new HostEffect.CloseSession(former.id));
+        sessionEnded(former.id, "replaced", nowMs);
+      }
+    }
+    LeaseClock lease = new LeaseClock(timing.ownerLeaseMs(), nowMs);
+    sessions.put(sessionId, new OwnerSession(sessionId, ownerId, lease));
+    openSessions(nowMs);
+  }
+
+  private void openSessions(long nowMs) {
+    if (nowMs < quietAtMs) {
+      return;
+    }
+    for (OwnerSession session : sessions.values()) {
+      if (!session.open && !hasEarlierRuns(session)) {
+        session.open = true;
+        note("ownerFound", "", session.ownerId, "session=" + session.id);
+        send(session.id, new SessionOpened(hostId, incarnation, zone));
+        send(session.id, rowsFor(session, nowMs));
+      }
+    }
+  }
+
+  private boolean hasEarlierRuns(OwnerSession session) {
+    return lives.values().stream()
+        .flatMap(life -> life.runs().stream())
+        .anyMatch(
+            run ->
+                run.sessionId != session.id
+                    && session.ownerId.equals(endedSessions.get(run.sessionId)));
+  }
+
+  /** Renews an owner's lease and shows it the workers. */
+  public void ownerBeat(long sessionId, long sentAtMs, long nowMs) {
+    OwnerSession session = sessions.get(sessionId);
+    if (session != null) {
+      session.lease.onBeat(sentAtMs, nowMs);
+      if (session.open) {
+        send(sessionId, rowsFor(session, nowMs));
+      }
+    }
+  }
+
+  /** Notes the end of a connection; the owner's runs are stopped. */
+  public void sessionEnded(long sessionId, String reason, long nowMs) {
+    OwnerSession session = sessions.remove(sessionId);
+    if (session == null) {
+      return;
+    }
+    endedSessions.put(sessionId, session.ownerId);
+    note("ownerLost", "", session.ownerId, "reason=" + reason);
+    for (WorkerLife life : lives.values()) {
+      for (HostedRun run : life.runs()) {
+        if (run.sessionId == sessionId) {
+          stop(life, run, nowMs);
+        }
+      }
+    }
+  }
+
+  /** Starts the runs of an order, as far as they may start. */
+  public void startRuns(long sessionId, StartRuns order, long nowMs) {
+    OwnerSession session = sessions.get(sessionId);
+    if (session == null || !session.open || session.lease.isOver(nowMs)) {
+      return;
+    }
+    session.lastOrder = Math.max(session.lastOrder, order.order());
+    for (RunRef run : order.runs()) {
+      start(session, order, run, nowMs);
+    }
+  }
+
+  private void start(OwnerSession session, StartRuns order, RunRef run, long nowMs) {
+    WorkerLife life = lives.get(order.workerId());
+    Optional<RunRefusal> refusal = refusalOf(life, order, run, nowMs);
+    if (refusal.isPresent()) {
+      refuse(session.id, run, order.workerId(), refusal.get());
+      return;
+    }
+    HostedRun hosted = new HostedRun(run, order.need(), order.spec(), session.id, nowMs);
+    life.add(hosted);
+    callStart(life, hosted, nowMs);
+  }
+
+  private Optional<RunRefusal> refusalOf(WorkerLife life, StartRuns order, RunRef run, long nowMs) {
+    if (life == null || life.state(stopping, nowMs) != WorkerState.READY) {
+      return Optional.of(RunRefusal.NOT_READY);
+    }
+    if (life.runs().stream().anyMatch(other -> other.run.task().equals(run.task()))) {
+      return Optional.of(RunRefusal.NOT_READY);
+    }
+    return Rooms.fits(order.need(), life.free()) ? Optional.empty() : Optional.of(RunRefusal.ROOM);
+  }
+
+  private void refuse(long sessionId, RunRef run, String workerId, RunRefusal reason) {
+    note("runRefused", run.task(), workerId, "run=" + run.number() + " reason=" + reason);
+    send(sessionId, new RunNotStarted(run, reason));
+  }
+
+  private void callStart(WorkerLife life, HostedRun run, long nowMs) {
+    effects.add(
+        new HostEffect.CallStart(
+            life.id(), life.info().address(), run.run, run.spec, life.grantLease(nowMs), token));
+  }
+
+  /** Stops a run on its owner's word. */
+  public void stopRun(long sessionId, RunRef run, long nowMs) {
+    for (WorkerLife life : lives.values()) {
+      Optional<HostedRun> found = life.find(run);
+      if (found.isPresent() && found.get().sessionId == sessionId) {
+        stop(life, found.get(), nowMs);
+      }
+    }
+  }
+
+  private void stop(WorkerLife life, HostedRun run, long nowMs) {
+    if (run.state == HostedRun.State.ORDERED || run.state == HostedRun.State.RUNNING) {
+      run.state = HostedRun.State.STOPPING;
+      callStop(life, run, nowMs);
+    }
+  }
+
+  private void callStop(WorkerLife life, HostedRun run, long nowMs) {
+    run.stopSentAtMs = nowMs;
+    effects.add(new HostEffect.CallStop(life.id(), life.info().address(), run.run, token));
+  }
+
+  // Answers of workers.
+
+  /** Takes what became of a start. */
+  public void startAnswered(String workerId, RunRef run, StartAnswer answer, long nowMs) {
+    WorkerLife life = lives.get(workerId);
+    Optional<HostedRun> found = life == null ? Optional.empty() : life.find(run);
+    if (found.isPresent()) {
+      startAnswered(life, found.get(), answer, nowMs);
+    }
+  }
+
+  private void startAnswered(WorkerLife life, HostedRun run, StartAnswer answer, long nowMs) {
+    switch (answer) {
+      case StartAnswer.Started started -> {
+        life.readClock(started.workerClockMs(), nowMs);
+        if (run.state == HostedRun.State.ORDERED) {
+          run.state = HostedRun.State.RUNNING;
+        }
+      }
+      case StartAnswer.Fenced fenced -> {
+        life.readClock(fenced.workerClockMs(), nowMs);
+        raiseToken();
+        repeatStart(life, run, nowMs);
+      }
+      case StartAnswer.Late late -> {
+        life.readClock(late.workerClockMs(), nowMs);
+        repeatStart(life, run, nowMs);
+      }
+      case StartAnswer.Refused refused -> {
+        life.remove(run);
+        refuse(run.sessionId, run.run, life.id(), refused.reason());
+      }
+      case StartAnswer.Unanswered unanswered -> {
+        // A stop bars the number, so that the order can't be carried out afterwards.
+        note("startUnanswered", run.run.task(), life.id(), "run=" + run.run.number());
+        run.state = HostedRun.State.STOPPING;
+        callStop(life, run, nowMs);
+      }
+      case StartAnswer.Gone gone -> endLife(life, "start found it gone");
+    }
+  }
+
+  private void repeatStart(WorkerLife life, HostedRun run, long nowMs) {
+    if (run.state == HostedRun.State.ORDERED) {
+      callStart(life, run, nowMs);
+    } else {
+      over(life, run, RunEnd.STOPPED);
+    }
+  }
+
+  private void raiseToken() {
+    token += tokenJump;
+    tokenJump *= 2;
+    note("tokenRaised", "", hostId, "token=" + token);
+  }
+
+  /**
+   * Takes what became of a stop.
+   *
+   * @param answered whether the worker said that it was carried out
+   */
+  public void stopAnswered(String workerId, RunRef run, boolean answered, long nowMs) {
+    life(workerId)
+        .flatMap(life -> life.find(run))
+        .filter(hosted -> hosted.state == HostedRun.State.STOPPING)
+        .ifPresent(
+            hosted -> {
+              if (answered) {
+                hosted.state = HostedRun.State.STOPPED;
+                hosted.stopSentAtMs = nowMs;
+              }
+            });
+  }
+
+  /** Takes a worker's list of its runs. */
+  public void holdAnswered(String workerId, HoldAnswer answer, long nowMs) {
+    WorkerLife life = lives.get(workerId);
+    if (life == null) {
+      return;
+    }
+    life.holdOpen = false;
+    switch (answer) {
+      case HoldAnswer.Listed listed -> {
+        boolean newEnds = takeList(life, listed, nowMs);
+        boolean quick = !newEnds && nowMs - life.holdSentAtMs < QUICK_HOLD_MS;
+        life.holdDueAtMs = quick ? nowMs + QUICK_HOLD_MS : nowMs;
+      }
+      case HoldAnswer.Fenced fenced -> {
+        life.readClock(fenced.workerClockMs(), nowMs);
+        raiseToken();
+      }
+      case HoldAnswer.Unanswered unanswered -> {
+        if (!life.silent) {
+          note("workerSilent", "", life.id(), "runs=" + life.runs().size());
+        }
+        life.silent = true;
+        life.holdDueAtMs = nowMs + SILENT_RETRY_MS;
+      }
+      case HoldAnswer.Gone gone -> {
+        endLife(life, "hold found it gone");
+        return;
+      }
+    }
+    if (nowMs >= life.holdDueAtMs) {
+      sendHold(life, nowMs);
+    }
+  }
+
+  private boolean takeList(WorkerLife life, HoldAnswer.Listed listed, long nowMs) {
+    life.readClock(listed.workerClockMs(), nowMs);
+    if (life.silent) {
+      note("workerAnswers", "", life.id(), "");
+      life.silent = false;
+    }
+    boolean newEnds = false;
+    for (HoldAnswer.Ended ended : listed.ended()) {
+      if (ended.number() > life.lastSeen) {
+        newEnds = true;
+        life.lastSeen = ended.number();
+        takeEnd(life, ended, nowMs);
+      }
+    }
+    life.runs().forEach(run -> checkListed(life, run, listed));
+    listed.running().stream()
+        .filter(run -> life.find(run).isEmpty())
+        .forEach(run -> stopStranger(life, run));
+    return newEnds;
+  }
+
+  private void takeEnd(WorkerLife life, HoldAnswer.Ended ended, long nowMs) {
+    if (ended.how() == RunEnd.DONE) {
+      life.failures.noteDone();
+    } else if (ended.how() == RunEnd.FAILED && life.failures.noteFailed(nowMs)) {
+      note("workerFailing", "", life.id(), "last=" + ended.run().task());
+    }
+    life.find(ended.run()).ifPresent(run -> over(life, run, ended.how(), nowMs));
+  }
+
+  /** A run that a list, asked for after its answer, does not show is not there. */
+  private void checkListed(WorkerLife life, HostedRun run, HoldAnswer.Listed listed) {
+    boolean settled = run.state == HostedRun.State.STOPPED;
+    boolean askedLater = life.holdSentAtMs >= run.stopSentAtMs + timing.killGraceMs();
+    if (settled && askedLater && !listed.running().contains(run.run)) {
+      over(life, run, RunEnd.STOPPED);
+    }
+  }
+
+  /** Stops a run that an earlier life of this host, or a late order, left behind. */
+  private void stopStranger(WorkerLife life, RunRef run) {
+    note("strangerStopped", run.task(), life.id(), "run=" + run.number());
+    effects.add(new HostEffect.CallStop(life.id(), life.info().address(), run, token));
+  }
+
+  private void over(WorkerLife life, HostedRun run, RunEnd how) {
+    over(life, run, how, run.orderedAtMs);
+  }
+
+  private void over(WorkerLife life, HostedRun run, RunEnd how, long nowMs) {
+    life.remove(run);
+    long ranMs = Math.max(0, nowMs - run.orderedAtMs);
+    note("runOver", run.run.task(), life.id(), "run=" + run.run.number() + " end=" + how);
+    send(run.sessionId, new RunEnded(run.run, how, ranMs));
+  }
+
+  private void sendHold(WorkerLife life, long nowMs) {
+    if (life.holdOpen) {
+      return;
+    }
+    life.holdOpen = true;
+    life.holdSentAtMs = nowMs;
+    long waitMs = life.silent ? 0 : life.hasRuns() ? BUSY_WAIT_MS : IDLE_WAIT_MS;
+    // A silent worker's lease is left to end, so that its runs are over at a known time.
+    long deadlineMs = life.silent || !life.hasRuns() ? 0 : life.grantLease(nowMs);
+    effects.add(
+        new HostEffect.CallHold(
+            life.id(), life.info().address(), deadlineMs, token, life.lastSeen, waitMs));
+  }
+
+  // Time and rows.
+
+  /** Does what the time has made due. */
+  public void onTick(long nowMs) {
+    for (OwnerSession session : List.copyOf(sessions.values())) {
+      if (session.lease.isOver(nowMs)) {
+        effects.add(new HostEffect.CloseSession(session.id));
+        sessionEnded(session.id, "lease over", nowMs);
+      }
+    }
+    for (WorkerLife life : List.copyOf(lives.values())) {
+      tick(life, nowMs);
+    }
+    endedSessions.keySet().removeIf(id -> !hasRunsOf(id));
+    openSessions(nowMs);
+  }
+
+  private boolean hasRunsOf(long sessionId) {
+    return lives.values().stream()
+        .flatMap(life -> life.runs().stream())
+        .anyMatch(run -> run.sessionId == sessionId);
+  }
+
+  private void tick(WorkerLife life, long nowMs) {
+    if (life.silent && life.isLeaseOver(nowMs)) {
+      life.runs().forEach(run -> over(life, run, RunEnd.LOST));
+    }
+    for (HostedRun run : life.runs()) {
+      if (run.state == HostedRun.State.STOPPING && nowMs - run.stopSentAtMs >= STOP_RETRY_MS) {
+        callStop(life, run, nowMs);
+      }
+    }
+    if (!life.holdOpen && nowMs >= life.holdDueAtMs) {
+      sendHold(life, nowMs);
+    }
+  }
+
+  /** Takes no further runs; those that are here go on to their ends. */
+  public void stopTaking() {
+    stopping = true;
+  }
+
+  /** Returns whether nothing runs here. */
+  public boolean isIdle() {
+    return lives.values().stream().noneMatch(WorkerLife::hasRuns);
+  }
+
+  /** Returns the number of runs that are not over. */
+  public int runCount() {
+    return lives.values().stream().mapToInt(life -> life.runs().size()).sum();
+  }
+
+  /** Returns the number of workers. */
+  public int workerCount() {
+    return lives.size();
+  }
+
+  /** Shows the workers to every owner if something has changed since the last time. */
+  public void showRows(long nowMs) {
+    List<WorkerRow> rows = rows(nowMs);
+    if (rows.equals(shownRows)) {
+      return;
+    }
+    shownRows = rows;
+    for (OwnerSession session : sessions.values()) {
+      if (session.open) {
+        send(session.id, new HostRows(session.lastOrder, rows));
+      }
+    }
+  }
+
+  private List<WorkerRow> rows(long nowMs) {
+    return lives.values().stream().map(life -> life.toRow(stopping, nowMs)).toList();
+  }
+
+  private HostRows rowsFor(OwnerSession session, long nowMs) {
+    return new HostRows(session.lastOrder, rows(nowMs));
+  }
+
+  private void send(long sessionId, io.hingehoist.message.Message message) {
+    if (sessions.containsKey(sessionId)) {
+      effects.add(new HostEffect.ToOwner(sessionId, message));
+    }
+  }
+
+  private void note(String event, String task, String where, String outcome) {
+    String job = task.isEmpty() ? "" : TaskNames.jobOf(task);
+    effects.add(new HostEffect.Noted(new Decision(event, job, task, where, outcome)));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/run/WorkerLife.java
@@ -0,0 +1,142 @@
+package io.hingehoist.run;
+
+import io.hingehoist.message.Room;
+import io.hingehoist.message.RunRef;
+import io.hingehoist.message.WorkerRow;
+import io.hingehoist.message.WorkerState;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One life of a worker: its room, its runs, its lease and its clock. Owned by {@link WorkerHost}.
+ */
+final class WorkerLife {
+  private static final double SLOWEST_CLOCK = 0.98;
+
+  final FailureWatch failures = new FailureWatch();
+  private final RunTiming timing;
+  private final Map<RunRef, HostedRun> runs = new LinkedHashMap<>();
+  private WorkerInfo info;
+  private Room used = Rooms.none();
+  private long clockMs;
+  private long clockReadAtMs;
+  private long leaseOverAtMs;
+  long lastSeen;
+  boolean silent;
+  boolean holdOpen;
+  long holdSentAtMs;
+  long holdDueAtMs;
+
+  WorkerLife(WorkerInfo info, RunTiming timing, long nowMs) {
+    this.info = info;
+    this.timing = timing;
+    this.clockMs = info.clockMs();
+    this.clockReadAtMs = nowMs;
+  }
+
+  WorkerInfo info() {
+    return info;
+  }
+
+  String id() {
+    return info.workerId();
+  }
+
+  /** Takes a newer account; returns whether it shows something else. */
+  boolean update(WorkerInfo newer) {
+    if (newer.version() < info.version()) {
+      return false;
+    }
+    boolean changed = newer.draining() != info.draining();
+    // A worker that is leaving does not come back under the same name.
+    boolean draining = newer.draining() || info.draining();
+    info =
+        new WorkerInfo(
+            newer.workerId(),
+            newer.service(),
+            newer.address(),
+            newer.zone(),
+            draining,
+            newer.capacity(),
+            newer.labels(),
+            newer.version(),
+            newer.clockMs());
+    return changed;
+  }
+
+  // The worker's clock and lease.
+
+  void readClock(long workerClockMs, long nowMs) {
+    clockMs = Math.max(workerClockMs, clockAt(nowMs));
+    clockReadAtMs = nowMs;
+  }
+
+  /** Returns a time that the worker's clock has reached for sure. */
+  private long clockAt(long nowMs) {
+    return clockMs + (long) ((nowMs - clockReadAtMs) * SLOWEST_CLOCK);
+  }
+
+  /** Returns the deadline of a call that is sent now, and notes when the lease will be over. */
+  long grantLease(long nowMs) {
+    leaseOverAtMs = nowMs + timing.workerOverAfterMs();
+    return clockAt(nowMs) + timing.workerLeaseMs();
+  }
+
+  boolean isLeaseOver(long nowMs) {
+    return nowMs >= leaseOverAtMs;
+  }
+
+  // Runs and room.
+
+  Room free() {
+    return Rooms.minus(info.capacity(), used);
+  }
+
+  void add(HostedRun run) {
+    runs.put(run.run, run);
+    used = Rooms.plus(used, run.need);
+  }
+
+  Optional<HostedRun> find(RunRef run) {
+    return Optional.ofNullable(runs.get(run));
+  }
+
+  void remove(HostedRun run) {
+    if (runs.remove(run.run) != null) {
+      used = Rooms.minus(used, run.need);
+    }
+  }
+
+  Collection<HostedRun> runs() {
+    return List.copyOf(runs.values());
+  }
+
+  boolean hasRuns() {
+    return !runs.isEmpty();
+  }
+
+  WorkerRow toRow(boolean hostStops, long nowMs) {
+    return new WorkerRow(
+        info.workerId(),
+        info.service(),
+        info.zone(),
+        new ArrayList<>(info.labels()),
+        info.capacity(),
+        free(),
+        state(hostStops, nowMs));
+  }
+
+  WorkerState state(boolean hostStops, long nowMs) {
+    if (hostStops || info.draining()) {
+      return WorkerState.DRAINING;
+    }
+    if (silent) {
+      return WorkerState.SILENT;
+    }
+    return failures.isFailing(nowMs) ? WorkerState.FAILING : WorkerState.READY;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/run/WorkerView.java
@@ -0,0 +1,63 @@
+package io.hingehoist.run;
+
+import io.hingehoist.message.Room;
+import io.hingehoist.message.WorkerRow;
+import io.hingehoist.message.WorkerState;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One worker as an owner sees it: its host's last row, less the orders that the row does not know
+ * of. Owned by {@link HostView}.
+ */
+final class WorkerView {
+  private record Unseen(long order, Room need) {}
+
+  final String hostId;
+  private final List<Unseen> unseen = new ArrayList<>();
+  private WorkerRow row;
+  private Room unseenNeed = Rooms.none();
+  private long avoidedUntilMs;
+
+  WorkerView(String hostId, WorkerRow row) {
+    this.hostId = hostId;
+    this.row = row;
+  }
+
+  WorkerRow row() {
+    return row;
+  }
+
+  void update(WorkerRow newRow, long lastOrder) {
+    row = newRow;
+    unseen.removeIf(
+        order -> {
+          boolean seen = order.order() <= lastOrder;
+          if (seen) {
+            unseenNeed = Rooms.minus(unseenNeed, order.need());
+          }
+          return seen;
+        });
+  }
+
+  void noteOrder(long order, Room need) {
+    unseen.add(new Unseen(order, need));
+    unseenNeed = Rooms.plus(unseenNeed, need);
+  }
+
+  void avoidUntil(long untilMs) {
+    avoidedUntilMs = Math.max(avoidedUntilMs, untilMs);
+  }
+
+  Room free() {
+    return Rooms.minus(row.free(), unseenNeed);
+  }
+
+  boolean takesRuns(long nowMs) {
+    return row.state() == WorkerState.READY && nowMs >= avoidedUntilMs;
+  }
+
+  boolean isFailing() {
+    return row.state() == WorkerState.FAILING;
+  }
+}
--- a/core/src/test/java/io/hingehoist/replication/ReplicaGroup.java
+++ b/core/src/test/java/io/hingehoist/replication/ReplicaGroup.java
@@ -50,7 +50,16 @@
       DurableState durable =
           new DurableState(term, votedFor, snapshot, List.copyOf(entries.values()));
       replica =
-          Replica.create(replicaId, address, clusterId, addresses, TIMING, random, durable, nowMs);
+          Replica.create(
+              replicaId,
+              address,
+              clusterId,
+              addresses,
+              addresses.size(),
+              TIMING,
+              random,
+              durable,
+              nowMs);
       appliedIndex = snapshot.lastIndex();
     }
 
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/adapter/Adapters.java
@@ -0,0 +1,19 @@
+package io.hingehoist.adapter;
+
+import java.util.Optional;
+import java.util.ServiceLoader;
+
+/** Static helpers that find adapters. */
+public final class Adapters {
+  private Adapters() {}
+
+  /** Returns the adapter of a name. */
+  public static Optional<Adapter> find(String name) {
+    for (Adapter adapter : ServiceLoader.load(Adapter.class)) {
+      if (adapter.name().equals(name)) {
+        return Optional.of(adapter);
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/adapter/WorkerCalls.java
@@ -0,0 +1,27 @@
+package io.hingehoist.adapter;
+
+import io.hingehoist.run.HoldAnswer;
+import io.hingehoist.run.HostEffect;
+import io.hingehoist.run.StartAnswer;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** Calls the workers on a box. Used on the event loop; each answer comes once, there. */
+public interface WorkerCalls {
+
+  /** Orders a run. */
+  void start(HostEffect.CallStart call, Consumer<StartAnswer> answer);
+
+  /**
+   * Stops a run.
+   *
+   * @param answer gets whether the worker said that it was carried out
+   */
+  void stop(HostEffect.CallStop call, Consumer<Boolean> answer);
+
+  /** Renews a lease and asks for the runs. */
+  void hold(HostEffect.CallHold call, Consumer<HoldAnswer> answer);
+
+  /** Closes the connections to workers other than these. */
+  void keepOnly(Set<String> addresses);
+}
--- a/daemon/src/main/java/io/hingehoist/config/DaemonSettings.java
+++ b/daemon/src/main/java/io/hingehoist/config/DaemonSettings.java
@@ -3,7 +3,9 @@
 import io.hingehoist.settings.AgentSection;
 import io.hingehoist.settings.ControlSection;
 import io.hingehoist.settings.EntrySection;
+import io.hingehoist.settings.HostSection;
 import io.hingehoist.settings.NodeSection;
+import io.hingehoist.settings.OwnerSection;
 import java.util.Optional;
 
 /** The checked settings of one process. A section is present if the process plays its role. */
@@ -11,4 +13,6 @@
     NodeSection node,
     Optional<ControlSection> control,
     Optional<EntrySection> entry,
-    Optional<AgentSection> agent) {}
+    Optional<AgentSection> agent,
+    Optional<OwnerSection> owner,
+    Optional<HostSection> host) {}
--- a/daemon/src/main/java/io/hingehoist/config/SettingsFile.java
+++ b/daemon/src/main/java/io/hingehoist/config/SettingsFile.java
@@ -5,7 +5,9 @@
 import io.hingehoist.settings.ControlSection;
 import io.hingehoist.settings.EntrySection;
 import io.hingehoist.settings.FieldSpecs;
+import io.hingehoist.settings.HostSection;
 import io.hingehoist.settings.NodeSection;
+import io.hingehoist.settings.OwnerSection;
 import java.io.IOException;
 import java.io.Reader;
 import java.nio.file.Files;
@@ -32,7 +34,9 @@
           "node", NodeSection.SPECS,
           "control", ControlSection.SPECS,
           "entry", EntrySection.SPECS,
-          "agent", AgentSection.SPECS);
+          "agent", AgentSection.SPECS,
+          "owner", OwnerSection.SPECS,
+          "host", HostSection.SPECS);
 
   private final Path file;
   private final List<String> problems = new ArrayList<>();
@@ -88,7 +92,8 @@
     root.forEach(
         (name, content) -> {
           if (!SECTIONS.containsKey(name)) {
-            problem(String.valueOf(name), "(unknown key)", "node, control, entry, agent");
+            problem(
+                String.valueOf(name), "(unknown key)", "node, control, entry, agent, owner, host");
           } else if (content instanceof Map<?, ?> section) {
             checkSection(String.valueOf(name), section);
           } else {
@@ -155,7 +160,9 @@
         node,
         section(node, "control", ControlSection::from),
         section(node, "entry", EntrySection::from),
-        section(node, "agent", AgentSection::from));
+        section(node, "agent", AgentSection::from),
+        section(node, "owner", OwnerSection::from),
+        section(node, "host", HostSection::from));
   }
 
   private <T> Optional<T> section(
@@ -177,6 +184,14 @@
     if (node.roles().contains("agent") && node.roles().size() > 1) {
       problem("node.roles", String.join(",", node.roles()), "agent alone, or entry and control");
     }
+    for (String role : List.of("owner", "host")) {
+      if (node.roles().contains(role) && node.roles().size() > 1) {
+        problem("node.roles", String.join(",", node.roles()), role + " alone");
+      }
+      if (node.roles().contains(role) && node.adapter().isEmpty()) {
+        problem("node.adapter", "", "the name of an adapter, because node.roles names " + role);
+      }
+    }
     settings.control().ifPresent(control -> checkControl(node, control));
   }
 
@@ -184,7 +199,7 @@
     if (node.dataFolder().isEmpty()) {
       problem("node.dataFolder", "", "a path of a folder, because node.roles names control");
     }
-    if (!node.controlAddresses().contains(control.listenAddress())) {
+    if (node.peerPort() == 0 && !node.controlAddresses().contains(control.listenAddress())) {
       problem(
           "control.listenAddress",
           control.listenAddress(),
--- a/daemon/src/main/java/io/hingehoist/daemon/Main.java
+++ b/daemon/src/main/java/io/hingehoist/daemon/Main.java
@@ -18,6 +18,7 @@
   private static final String USAGE =
       """
       usage: hingehoistd run FILE      run the roles that a settings file names
+             hingehoistd run-named VARIABLE  run the file that an environment variable names
              hingehoistd check FILE    check a settings file and do nothing else
              hingehoistd found FILE    make the data folder the first replica of a new cluster;
                                        once in the life of a cluster, on one box only
@@ -46,6 +47,9 @@
       System.out.print(USAGE);
       return ExitCode.OK;
     }
+    if (args.size() == 2 && args.getFirst().equals("run-named")) {
+      return runNamed(args.getLast());
+    }
     if (args.size() != 2
         || !List.of("run", "check", "found", "archive").contains(args.getFirst())) {
       System.err.print(USAGE);
@@ -56,11 +60,22 @@
         invalid.problems().forEach(System.err::println);
         yield ExitCode.BAD_SETTINGS;
       }
-      case SettingsResult.Valid valid -> run(args.getFirst(), valid.settings());
+      case SettingsResult.Valid valid ->
+          run(args.getFirst(), valid.settings(), Path.of(args.getLast()));
     };
   }
 
-  private static ExitCode run(String action, DaemonSettings settings) {
+  private static ExitCode runNamed(String variable) {
+    String file = System.getenv(variable);
+    if (file == null || file.isBlank()) {
+      System.err.println(
+          variable + ": value \"\" is not allowed; allowed: a path of a settings file");
+      return ExitCode.BAD_SETTINGS;
+    }
+    return run(List.of("run", file));
+  }
+
+  private static ExitCode run(String action, DaemonSettings settings, Path file) {
     return switch (action) {
       case "check" -> {
         System.out.println("the settings are sound");
@@ -68,7 +83,7 @@
       }
       case "found" -> found(settings);
       case "archive" -> archive(settings);
-      default -> start(settings);
+      default -> start(settings, file);
     };
   }
 
@@ -107,11 +122,13 @@
     }
   }
 
-  private static ExitCode start(DaemonSettings settings) {
+  private static ExitCode start(DaemonSettings settings, Path file) {
     Logs.configure(settings.node());
     Metrics metrics = Metrics.create();
     try {
-      if (settings.agent().isPresent()) {
+      if (!settings.node().adapter().isEmpty()) {
+        AdaptedProcess.start(settings, file, metrics);
+      } else if (settings.agent().isPresent()) {
         AgentProcess.start(settings, metrics);
       } else {
         ServerProcess.start(settings, metrics);
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/host/HostNode.java
@@ -0,0 +1,267 @@
+package io.hingehoist.host;
+
+import io.hingehoist.adapter.Adapter;
+import io.hingehoist.adapter.WorkerCalls;
+import io.hingehoist.adapter.WorkerRegistry;
+import io.hingehoist.directory.PeerDirectory;
+import io.hingehoist.log.DecisionLog;
+import io.hingehoist.message.Announce;
+import io.hingehoist.message.DocumentUpdate;
+import io.hingehoist.message.Message;
+import io.hingehoist.message.OwnerBeat;
+import io.hingehoist.message.Peer;
+import io.hingehoist.message.Role;
+import io.hingehoist.message.StartRuns;
+import io.hingehoist.message.StopRun;
+import io.hingehoist.metrics.Metrics;
+import io.hingehoist.net.ControlLinks;
+import io.hingehoist.net.EventLoop;
+import io.hingehoist.net.HttpServer;
+import io.hingehoist.net.PeerChannel;
+import io.hingehoist.net.PeerHandler;
+import io.hingehoist.net.PeerServer;
+import io.hingehoist.quorum.ControlAddresses;
+import io.hingehoist.run.HostEffect;
+import io.hingehoist.run.RunTiming;
+import io.hingehoist.run.WorkerHost;
+import io.hingehoist.run.WorkerInfo;
+import io.hingehoist.settings.HostSection;
+import io.hingehoist.settings.NodeSection;
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/** A host: one event loop that owns the {@link WorkerHost} and carries all connections. */
+public final class HostNode implements WorkerRegistry, AutoCloseable {
+  private static final int MAX_BODY_BYTES = 64 * 1024;
+  private static final long TICK_MS = 25;
+
+  /** What is left of the time of a planned stop when the process ends in any case. */
+  private static final long STOP_MARGIN_MS = 300;
+
+  private final NodeSection node;
+  private final HostSection settings;
+  private final DecisionLog log;
+  private final EventLoop loop;
+  private final WorkerHost host;
+  private final WorkerCalls workers;
+  private final ControlLinks controls;
+  private final OwnerLinks owners;
+  private final PeerServer peers;
+  private final CountDownLatch settled = new CountDownLatch(1);
+  private boolean settling;
+  private boolean stopping;
+
+  private HostNode(
+      NodeSection node,
+      HostSection settings,
+      Adapter adapter,
+      Metrics metrics,
+      DecisionLog log,
+      EventLoop loop)
+      throws IOException {
+    this.node = node;
+    this.settings = settings;
+    this.log = log;
+    this.loop = loop;
+    long incarnation = System.currentTimeMillis();
+    RunTiming timing =
+        RunTiming.of(
+            settings.resubmitAfterMs(), settings.longestWorkerLeaseMs(), settings.killGraceMs());
+    this.host =
+        WorkerHost.create(
+            node.nodeId(), incarnation, node.zone(), timing, incarnation, EventLoop.nowMs());
+    Peer self =
+        new Peer(node.nodeId(), Role.AGENT, settings.listenAddress(), incarnation, node.zone());
+    this.workers = adapter.workerCalls(loop, settings.listenAddress());
+    this.controls = ControlLinks.create(loop, self, metrics, new ControlListener());
+    this.owners = new OwnerLinks(loop, self, metrics, new OwnerListener());
+    this.peers = PeerServer.open(loop, settings.listenAddress(), AnnouncementHandler::new, metrics);
+    HttpServer.open(loop, settings.workerDoorAddress(), MAX_BODY_BYTES, adapter.workerDoor(this));
+  }
+
+  /**
+   * Starts a host.
+   *
+   * @throws IOException if an address can't be opened
+   */
+  public static HostNode start(
+      NodeSection node,
+      HostSection settings,
+      Adapter adapter,
+      Metrics metrics,
+      DecisionLog log,
+      EventLoop loop)
+      throws IOException {
+    HostNode host = new HostNode(node, settings, adapter, metrics, log, loop);
+    loop.execute(() -> host.controls.open(ControlAddresses.of(node)));
+    loop.every(host::onTick, TICK_MS);
+    metrics.addGauge("hingehoist_host_runs", "Runs that are not over.", host.host::runCount);
+    metrics.addGauge("hingehoist_host_workers", "Workers.", host.host::workerCount);
+    metrics.addGauge(
+        "hingehoist_log_lines_dropped", "Log lines dropped under load.", log::droppedCount);
+    return host;
+  }
+
+  /** Follows settings that were read again: new addresses of control replicas are used as well. */
+  public void reload(NodeSection newNode) {
+    loop.execute(() -> controls.open(ControlAddresses.of(newNode)));
+  }
+
+  private void onTick() {
+    long now = EventLoop.nowMs();
+    controls.onTick(now);
+    owners.onTick(now);
+    host.onTick(now);
+    settle();
+    if (stopping && host.isIdle()) {
+      settled.countDown();
+    }
+  }
+
+  /**
+   * Stops as planned: takes no further runs and waits for the ends of those that are here. Returns
+   * whether all ended. Called from another thread.
+   */
+  public boolean stop() {
+    loop.execute(
+        () -> {
+          stopping = true;
+          host.stopTaking();
+          log.write("stopping", node.nodeId(), "runs=" + host.runCount());
+          settleLater();
+        });
+    try {
+      long timeoutMs = (long) (settings.stopTimeoutSeconds() * 1_000);
+      long waitMs = Math.max(0, timeoutMs - STOP_MARGIN_MS);
+      boolean ended = settled.await(waitMs, TimeUnit.MILLISECONDS);
+      log.write("stopped", node.nodeId(), "allRunsEnded=" + ended);
+      return ended;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  // Effects.
+
+  private void settleLater() {
+    if (!settling) {
+      settling = true;
+      loop.execute(this::settle);
+    }
+  }
+
+  private void settle() {
+    settling = false;
+    host.showRows(EventLoop.nowMs());
+    host.takeEffects().forEach(this::carryOut);
+  }
+
+  private void carryOut(HostEffect effect) {
+    switch (effect) {
+      case HostEffect.CallStart call ->
+          workers.start(
+              call,
+              answer -> {
+                host.startAnswered(call.workerId(), call.run(), answer, EventLoop.nowMs());
+                settleLater();
+              });
+      case HostEffect.CallStop call ->
+          workers.stop(
+              call,
+              answered -> {
+                host.stopAnswered(call.workerId(), call.run(), answered, EventLoop.nowMs());
+                settleLater();
+              });
+      case HostEffect.CallHold call ->
+          workers.hold(
+              call,
+              answer -> {
+                host.holdAnswered(call.workerId(), answer, EventLoop.nowMs());
+                settleLater();
+              });
+      case HostEffect.ToOwner to -> owners.send(to.sessionId(), to.message());
+      case HostEffect.CloseSession session -> owners.close(session.sessionId());
+      case HostEffect.Noted noted -> log.write(noted.decision());
+    }
+  }
+
+  // What workers, owners and control replicas say.
+
+  @Override
+  public void workerSeen(WorkerInfo info) {
+    host.workerSeen(info, EventLoop.nowMs());
+    settleLater();
+  }
+
+  @Override
+  public void workerLeaves(String workerId) {
+    host.workerLeaves(workerId);
+    settleLater();
+  }
+
+  private final class OwnerListener implements OwnerLinks.Listener {
+    @Override
+    public void onBegan(long sessionId, String ownerId) {
+      host.sessionBegan(sessionId, ownerId, EventLoop.nowMs());
+      settleLater();
+    }
+
+    @Override
+    public void onMessage(long sessionId, Message message) {
+      long now = EventLoop.nowMs();
+      switch (message) {
+        case OwnerBeat beat -> host.ownerBeat(sessionId, beat.sentAtMs(), now);
+        case StartRuns order -> host.startRuns(sessionId, order, now);
+        case StopRun order -> host.stopRun(sessionId, order.run(), now);
+        default -> owners.close(sessionId);
+      }
+      settleLater();
+    }
+
+    @Override
+    public void onEnded(long sessionId) {
+      host.sessionEnded(sessionId, "connection closed", EventLoop.nowMs());
+      settleLater();
+    }
+  }
+
+  private final class ControlListener implements ControlLinks.Listener {
+    @Override
+    public void onDirectory(PeerDirectory directory) {
+      owners.follow(directory.peers(Role.ENTRY));
+    }
+
+    @Override
+    public void onDocument(DocumentUpdate update) {}
+
+    @Override
+    public void onControl(String address, boolean found) {
+      log.write(found ? "controlFound" : "controlLost", address, "");
+    }
+  }
+
+  /** Takes what comes from owners that this host may not have heard of. */
+  private final class AnnouncementHandler implements PeerHandler {
+    @Override
+    public void onOpen(PeerChannel channel) {}
+
+    @Override
+    public void onMessage(PeerChannel channel, Message message) {
+      if (message instanceof Announce announce) {
+        controls.told(announce.self());
+      }
+    }
+
+    @Override
+    public void onClosed(PeerChannel channel) {}
+  }
+
+  @Override
+  public void close() {
+    peers.close();
+    owners.close();
+    controls.close();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/log/DecisionLog.java
@@ -0,0 +1,120 @@
+package io.hingehoist.log;
+
+import io.hingehoist.run.Decision;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * Writes decisions as lines of JSON, without ever holding up who makes them: lines wait in a queue
+ * of fixed size for a thread that writes them, and are dropped and counted when it is full.
+ * Thread-safe.
+ */
+public final class DecisionLog implements AutoCloseable {
+  private static final int MAX_WAITING = 8_192;
+  private static final long WRITE_PERIOD_NANOS = 50_000_000;
+
+  private final String node;
+  private final PrintStream out;
+  private final BlockingQueue<String> waiting = new ArrayBlockingQueue<>(MAX_WAITING);
+  private final AtomicLong dropped = new AtomicLong();
+  private final Thread writer;
+  private long reportedDrops;
+  private volatile boolean closed;
+
+  private DecisionLog(String node, PrintStream out) {
+    this.node = node;
+    this.out = out;
+    this.writer = new Thread(this::writeLines, "log");
+    this.writer.setDaemon(true);
+  }
+
+  /** Starts a log. */
+  public static DecisionLog start(String node, PrintStream out) {
+    DecisionLog log = new DecisionLog(node, out);
+    log.writer.start();
+    return log;
+  }
+
+  /** Writes a decision. */
+  public void write(Decision decision) {
+    if (!waiting.offer(toLine(decision))) {
+      dropped.incrementAndGet();
+    }
+  }
+
+  /** Writes an event that is about no job. */
+  public void write(String event, String where, String outcome) {
+    write(new Decision(event, "", "", where, outcome));
+  }
+
+  /** Returns the number of lines that were dropped because too many waited. */
+  public long droppedCount() {
+    return dropped.get();
+  }
+
+  private String toLine(Decision decision) {
+    StringBuilder line = new StringBuilder(160);
+    line.append("{\"atMs\":").append(System.currentTimeMillis());
+    append(line, "node", node);
+    append(line, "event", decision.event());
+    append(line, "job", decision.job());
+    append(line, "task", decision.task());
+    append(line, "where", decision.where());
+    append(line, "outcome", decision.outcome());
+    return line.append("}\n").toString();
+  }
+
+  private static void append(StringBuilder line, String key, String value) {
+    if (value.isEmpty()) {
+      return;
+    }
+    line.append(",\"").append(key).append("\":\"");
+    for (int i = 0; i < value.length(); i++) {
+      char c = value.charAt(i);
+      if (c == '"' || c == '\\') {
+        line.append('\\').append(c);
+      } else if (c < ' ') {
+        line.append(' ');
+      } else {
+        line.append(c);
+      }
+    }
+    line.append('"');
+  }
+
+  private void writeLines() {
+    while (!closed) {
+      LockSupport.parkNanos(WRITE_PERIOD_NANOS);
+      flush();
+    }
+  }
+
+  private synchronized void flush() {
+    List<String> lines = new ArrayList<>();
+    waiting.drainTo(lines);
+    long drops = dropped.get();
+    if (drops > reportedDrops) {
+      lines.add(
+          toLine(new Decision("linesDropped", "", "", "", "count=" + (drops - reportedDrops))));
+      reportedDrops = drops;
+    }
+    if (!lines.isEmpty()) {
+      byte[] bytes = String.join("", lines).getBytes(StandardCharsets.UTF_8);
+      out.write(bytes, 0, bytes.length);
+      out.flush();
+    }
+  }
+
+  /** Writes what waits and ends. */
+  @Override
+  public void close() {
+    closed = true;
+    flush();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/net/ControlLinks.java
@@ -0,0 +1,213 @@
+package io.hingehoist.net;
+
+import io.hingehoist.command.DocumentVersion;
+import io.hingehoist.command.GetDocument;
+import io.hingehoist.command.QueryAnswer;
+import io.hingehoist.directory.PeerDirectory;
+import io.hingehoist.message.Announce;
+import io.hingehoist.message.Directory;
+import io.hingehoist.message.DocumentUpdate;
+import io.hingehoist.message.Hello;
+import io.hingehoist.message.Message;
+import io.hingehoist.message.Peer;
+import io.hingehoist.message.QueryRequest;
+import io.hingehoist.message.QueryResponse;
+import io.hingehoist.message.ReplyStatus;
+import io.hingehoist.message.Role;
+import io.hingehoist.metrics.Metrics;
+import io.hingehoist.wire.FrameConnection;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * The connections of a process to every control replica that it knows of. It announces itself to
+ * each, and so learns of the others and of documents whichever of them is well. Owned by the event
+ * loop.
+ */
+public final class ControlLinks implements AutoCloseable {
+  private static final long ANNOUNCE_MS = 300;
+  private static final long KEPT_MS = 600_000;
+  private static final long READ_TIMEOUT_MS = 400;
+
+  /** Takes what control replicas say, on the event loop. */
+  public interface Listener {
+    /** Takes the directory after a change. */
+    void onDirectory(PeerDirectory directory);
+
+    /** Takes a committed document. */
+    void onDocument(DocumentUpdate update);
+
+    /** Notes that a control replica was found or lost. */
+    void onControl(String address, boolean found);
+  }
+
+  private static final class Link {
+    private PeerLink frames;
+    private long directoryVersion;
+  }
+
+  private record PendingRead(Consumer<Optional<DocumentVersion>> result) {}
+
+  private final EventLoop loop;
+  private final Peer self;
+  private final Metrics metrics;
+  private final Listener listener;
+  private final PeerDirectory directory = PeerDirectory.create(KEPT_MS);
+  private final Map<String, Link> links = new HashMap<>();
+  private final Map<Long, PendingRead> reads = new HashMap<>();
+  private long announcedAtMs;
+  private long nextRead;
+
+  private ControlLinks(EventLoop loop, Peer self, Metrics metrics, Listener listener) {
+    this.loop = loop;
+    this.self = self;
+    this.metrics = metrics;
+    this.listener = listener;
+  }
+
+  /** Creates links to no replica yet. */
+  public static ControlLinks create(EventLoop loop, Peer self, Metrics metrics, Listener listener) {
+    return new ControlLinks(loop, self, metrics, listener);
+  }
+
+  /** Opens links to replicas, in addition to those that are open. */
+  public void open(List<String> addresses) {
+    for (String address : addresses) {
+      if (!links.containsKey(address)) {
+        Link link = new Link();
+        links.put(address, link);
+        link.frames =
+            PeerLink.open(
+                loop, address, self.address(), this::hello, new ControlHandler(link), metrics);
+      }
+    }
+  }
+
+  private Hello hello() {
+    return new Hello(
+        self.role(), self.nodeId(), self.incarnation(), "", FrameConnection.PROTOCOL_VERSION);
+  }
+
+  /** Returns what this process knows of others. */
+  public PeerDirectory directory() {
+    return directory;
+  }
+
+  /** Takes a process that made itself known here. */
+  public void told(Peer peer) {
+    long before = directory.version();
+    directory.told(peer, EventLoop.nowMs());
+    if (directory.version() != before) {
+      directoryChanged();
+    }
+  }
+
+  /** Announces this process when that is due. Called at short intervals. */
+  public void onTick(long nowMs) {
+    links.values().forEach(link -> link.frames.onTick(nowMs));
+    if (nowMs - announcedAtMs < ANNOUNCE_MS) {
+      return;
+    }
+    announcedAtMs = nowMs;
+    directory.expire(nowMs);
+    links.values().forEach(this::announce);
+  }
+
+  private void announce(Link link) {
+    link.frames.send(new Announce(self, List.of(), link.directoryVersion));
+  }
+
+  private void directoryChanged() {
+    open(directory.peers(Role.CONTROL).stream().map(Peer::address).toList());
+    listener.onDirectory(directory);
+  }
+
+  /**
+   * Reads a document from whichever replica leads.
+   *
+   * @param result gets it; empty if no leader answers in time
+   */
+  public void read(String document, Consumer<Optional<DocumentVersion>> result) {
+    long id = ++nextRead;
+    reads.put(id, new PendingRead(result));
+    QueryRequest request = new QueryRequest(id, new GetDocument(document).toBytes());
+    links.values().forEach(link -> link.frames.send(request));
+    loop.schedule(() -> settle(id, Optional.empty()), READ_TIMEOUT_MS);
+  }
+
+  private void settle(long id, Optional<DocumentVersion> version) {
+    PendingRead read = reads.remove(id);
+    if (read != null) {
+      read.result().accept(version);
+    }
+  }
+
+  private final class ControlHandler implements PeerHandler {
+    private final Link link;
+
+    private ControlHandler(Link link) {
+      this.link = link;
+    }
+
+    @Override
+    public void onOpen(PeerChannel channel) {
+      link.directoryVersion = 0;
+      announce(link);
+      listener.onControl(link.frames.address(), true);
+    }
+
+    @Override
+    public void onMessage(PeerChannel channel, Message message) {
+      switch (message) {
+        case Directory update -> take(update);
+        case DocumentUpdate update -> listener.onDocument(update);
+        case QueryResponse response -> take(response);
+        default -> channel.close();
+      }
+    }
+
+    private void take(Directory update) {
+      if (update.version() == link.directoryVersion) {
+        directory.confirmed(EventLoop.nowMs());
+        return;
+      }
+      link.directoryVersion = update.version();
+      long before = directory.version();
+      long nowMs = EventLoop.nowMs();
+      update.peers().forEach(peer -> directory.learned(peer, nowMs));
+      if (directory.version() != before) {
+        directoryChanged();
+      }
+    }
+
+    private void take(QueryResponse response) {
+      if (response.status() == ReplyStatus.OK) {
+        settle(response.requestId(), decode(response));
+      }
+    }
+
+    private static Optional<DocumentVersion> decode(QueryResponse response) {
+      try {
+        return QueryAnswer.fromBytes(response.result()) instanceof DocumentVersion version
+            ? Optional.of(version)
+            : Optional.empty();
+      } catch (IOException e) {
+        return Optional.empty();
+      }
+    }
+
+    @Override
+    public void onClosed(PeerChannel channel) {
+      listener.onControl(link.frames.address(), false);
+    }
+  }
+
+  @Override
+  public void close() {
+    links.values().forEach(link -> link.frames.close());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/net/HttpCall.java
@@ -0,0 +1,51 @@
+package io.hingehoist.net;
+
+import java.util.function.Consumer;
+
+/** One HTTP request that waits for its answer. Owned by the event loop. */
+public final class HttpCall {
+  private final HttpRequest request;
+  private final Consumer<HttpAnswer> answers;
+  private final Runnable breaker;
+  private Runnable onAbandoned = () -> {};
+  private boolean over;
+
+  HttpCall(HttpRequest request, Consumer<HttpAnswer> answers, Runnable breaker) {
+    this.request = request;
+    this.answers = answers;
+    this.breaker = breaker;
+  }
+
+  /** Returns the request. */
+  public HttpRequest request() {
+    return request;
+  }
+
+  /** Answers the request, unless it was answered or its caller is gone. */
+  public void answer(HttpAnswer answer) {
+    if (!over) {
+      over = true;
+      answers.accept(answer);
+    }
+  }
+
+  /** Closes the connection without an answer: nothing can be said of the request. */
+  public void breakOff() {
+    if (!over) {
+      over = true;
+      breaker.run();
+    }
+  }
+
+  /** Says what to do when the caller leaves before its answer. */
+  public void onAbandoned(Runnable action) {
+    onAbandoned = action;
+  }
+
+  void abandon() {
+    if (!over) {
+      over = true;
+      onAbandoned.run();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/net/PeerLink.java
@@ -0,0 +1,153 @@
+package io.hingehoist.net;
+
+import io.hingehoist.message.Hello;
+import io.hingehoist.message.Message;
+import io.hingehoist.metrics.Metrics;
+import io.hingehoist.wire.Addresses;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/**
+ * Keeps a connection to one address open, and opens it anew when it breaks or nothing is heard on
+ * it. Owned by the event loop.
+ */
+public final class PeerLink implements AutoCloseable {
+  private static final int CONNECT_TIMEOUT_MS = 400;
+  private static final long RETRY_PAUSE_MS = 100;
+  private static final long SILENT_MS = 1_000;
+
+  private final EventLoop loop;
+  private final String address;
+  private final String ownAddress;
+  private final Supplier<Hello> hello;
+  private final PeerHandler handler;
+  private final Metrics metrics;
+  private Optional<PeerChannel> current = Optional.empty();
+  private boolean connecting;
+  private boolean closed;
+
+  private PeerLink(
+      EventLoop loop,
+      String address,
+      String ownAddress,
+      Supplier<Hello> hello,
+      PeerHandler handler,
+      Metrics metrics) {
+    this.loop = loop;
+    this.address = address;
+    this.ownAddress = ownAddress;
+    this.hello = hello;
+    this.handler = handler;
+    this.metrics = metrics;
+  }
+
+  /**
+   * Opens a link.
+   *
+   * @param ownAddress the address whose IP number the connections come from
+   * @param hello makes the first message of each connection
+   */
+  public static PeerLink open(
+      EventLoop loop,
+      String address,
+      String ownAddress,
+      Supplier<Hello> hello,
+      PeerHandler handler,
+      Metrics metrics) {
+    PeerLink link = new PeerLink(loop, address, ownAddress, hello, handler, metrics);
+    link.connect();
+    return link;
+  }
+
+  /** Returns the address that the link leads to. */
+  public String address() {
+    return address;
+  }
+
+  /** Returns the open connection, if there is one. */
+  public Optional<PeerChannel> channel() {
+    return current;
+  }
+
+  /** Sends a message; returns whether it may arrive. */
+  public boolean send(Message message) {
+    return current.isPresent() && current.get().send(message);
+  }
+
+  /** Gives up a connection on which nothing is heard. Called at short intervals. */
+  public void onTick(long nowMs) {
+    current
+        .filter(channel -> nowMs - channel.heardAtMs() >= SILENT_MS)
+        .ifPresent(PeerChannel::close);
+  }
+
+  private void connect() {
+    if (closed || connecting || current.isPresent()) {
+      return;
+    }
+    connecting = true;
+    new Bootstrap()
+        .group(loop.group())
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+        .handler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                PeerChannel.install(channel, new Greeting(), metrics, loop);
+              }
+            })
+        .localAddress(new InetSocketAddress(Addresses.toSocketAddress(ownAddress).getAddress(), 0))
+        .connect(Addresses.toSocketAddress(address))
+        .addListener(
+            done -> {
+              connecting = false;
+              if (!done.isSuccess()) {
+                retryLater();
+              }
+            });
+  }
+
+  private void retryLater() {
+    if (!closed) {
+      loop.schedule(this::connect, RETRY_PAUSE_MS);
+    }
+  }
+
+  private final class Greeting implements PeerHandler {
+    @Override
+    public void onOpen(PeerChannel channel) {
+      if (closed) {
+        channel.close();
+        return;
+      }
+      current = Optional.of(channel);
+      channel.send(hello.get());
+      handler.onOpen(channel);
+    }
+
+    @Override
+    public void onMessage(PeerChannel channel, Message message) {
+      handler.onMessage(channel, message);
+    }
+
+    @Override
+    public void onClosed(PeerChannel channel) {
+      current = Optional.empty();
+      handler.onClosed(channel);
+      retryLater();
+    }
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    current.ifPresent(PeerChannel::close);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/net/PeerServer.java
@@ -0,0 +1,52 @@
+package io.hingehoist.net;
+
+import io.hingehoist.metrics.Metrics;
+import io.hingehoist.wire.Addresses;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.util.function.Supplier;
+
+/** Takes connections of other hingehoist processes on one address. */
+public final class PeerServer implements AutoCloseable {
+  private static final int BACKLOG = 1_024;
+
+  private final Channel listener;
+
+  private PeerServer(Channel listener) {
+    this.listener = listener;
+  }
+
+  /**
+   * Opens a server.
+   *
+   * @param handlers makes the handler of each new connection
+   * @throws IOException if the address can't be opened
+   */
+  public static PeerServer open(
+      EventLoop loop, String address, Supplier<PeerHandler> handlers, Metrics metrics)
+      throws IOException {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(loop.group())
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    PeerChannel.install(channel, handlers.get(), metrics, loop);
+                  }
+                });
+    return new PeerServer(Listeners.bind(bootstrap, Addresses.toSocketAddress(address)));
+  }
+
+  @Override
+  public void close() {
+    listener.close();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/owner/JobWaiters.java
@@ -0,0 +1,38 @@
+package io.hingehoist.owner;
+
+import io.hingehoist.adapter.JobIntake.Waiter;
+import io.hingehoist.run.JobEnd;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Who waits for which job. Owned by the event loop. */
+final class JobWaiters {
+  private final Map<String, List<Waiter>> waiters = new HashMap<>();
+
+  void add(String jobId, Waiter waiter) {
+    waiters.computeIfAbsent(jobId, id -> new ArrayList<>()).add(waiter);
+  }
+
+  /** Removes a waiter; returns whether it was the last one of its job. */
+  boolean remove(String jobId, Waiter waiter) {
+    List<Waiter> waiting = waiters.get(jobId);
+    if (waiting == null || !waiting.remove(waiter) || !waiting.isEmpty()) {
+      return false;
+    }
+    waiters.remove(jobId);
+    return true;
+  }
+
+  void end(String jobId, JobEnd end) {
+    List<Waiter> waiting = waiters.remove(jobId);
+    if (waiting != null) {
+      waiting.forEach(waiter -> waiter.onEnd(end));
+    }
+  }
+
+  boolean isEmpty() {
+    return waiters.isEmpty();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -0,0 +1,373 @@
+package io.hingehoist.owner;
+
+import io.hingehoist.adapter.Adapter;
+import io.hingehoist.adapter.JobIntake;
+import io.hingehoist.directory.PeerDirectory;
+import io.hingehoist.log.DecisionLog;
+import io.hingehoist.message.DocumentUpdate;
+import io.hingehoist.message.HostRows;
+import io.hingehoist.message.Message;
+import io.hingehoist.message.Peer;
+import io.hingehoist.message.Role;
+import io.hingehoist.message.RunEnded;
+import io.hingehoist.message.RunNotStarted;
+import io.hingehoist.message.SessionOpened;
+import io.hingehoist.metrics.Metrics;
+import io.hingehoist.net.ControlLinks;
+import io.hingehoist.net.EventLoop;
+import io.hingehoist.net.HttpAnswer;
+import io.hingehoist.net.HttpCall;
+import io.hingehoist.net.HttpServer;
+import io.hingehoist.quorum.ControlAddresses;
+import io.hingehoist.route.RouteTable;
+import io.hingehoist.run.JobEnd;
+import io.hingehoist.run.JobOwner;
+import io.hingehoist.run.JobPlan;
+import io.hingehoist.run.OwnerEffect;
+import io.hingehoist.run.RunTiming;
+import io.hingehoist.settings.NodeSection;
+import io.hingehoist.settings.OwnerSection;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * An owner: one event loop that owns the {@link JobOwner} and carries all connections.
+ *
+ * <p>Nothing in the path of a job asks the control replicas; they bring the configuration and the
+ * addresses of hosts.
+ */
+public final class OwnerNode implements JobIntake, AutoCloseable {
+  /** The name of the document that holds the routes. */
+  public static final String CONFIGURATION = "configuration";
+
+  private static final int MAX_BODY_BYTES = 1 << 20;
+  private static final int MAX_READY_BODY_BYTES = 4_096;
+  private static final long TICK_MS = 25;
+
+  /** A planned stop answers new jobs for so long; then the platform has turned to other boxes. */
+  private static final long STOP_TAKING_AFTER_MS = 2_500;
+
+  /** What is left of the time of a planned stop when the process ends in any case. */
+  private static final long STOP_MARGIN_MS = 300;
+
+  private final NodeSection node;
+  private final OwnerSection settings;
+  private final Adapter adapter;
+  private final Metrics metrics;
+  private final DecisionLog log;
+  private final EventLoop loop;
+  private final RunTiming timing;
+  private final JobOwner jobs;
+  private final JobWaiters waiters = new JobWaiters();
+  private final Map<String, Long> takenAtMs = new HashMap<>();
+  private final CountDownLatch settled = new CountDownLatch(1);
+  private final ControlLinks controls;
+  private final HostSessions hosts;
+  private final HttpServer front;
+  private RouteTable routes = RouteTable.empty();
+  private long tickedAtMs;
+  private long stopAtMs = Long.MAX_VALUE;
+  private boolean settling;
+
+  private OwnerNode(
+      NodeSection node,
+      OwnerSection settings,
+      Adapter adapter,
+      Metrics metrics,
+      DecisionLog log,
+      EventLoop loop)
+      throws IOException {
+    this.node = node;
+    this.settings = settings;
+    this.adapter = adapter;
+    this.metrics = metrics;
+    this.log = log;
+    this.loop = loop;
+    this.timing =
+        RunTiming.of(
+            settings.resubmitAfterMs(), settings.longestWorkerLeaseMs(), settings.killGraceMs());
+    this.jobs = JobOwner.create(timing);
+    Peer self =
+        new Peer(
+            node.nodeId(),
+            Role.ENTRY,
+            settings.listenAddress(),
+            System.currentTimeMillis(),
+            node.zone());
+    this.controls = ControlLinks.create(loop, self, metrics, new ControlListener());
+    this.hosts = new HostSessions(loop, self, timing.ownerLeaseMs(), metrics, new HostListener());
+    this.front =
+        HttpServer.open(loop, settings.frontAddress(), MAX_BODY_BYTES, adapter.frontDoor(this));
+    if (!settings.readyAddress().isEmpty()) {
+      HttpServer.open(loop, settings.readyAddress(), MAX_READY_BODY_BYTES, this::answerReady);
+    }
+  }
+
+  /**
+   * Starts an owner.
+   *
+   * @throws IOException if an address can't be opened
+   */
+  public static OwnerNode start(
+      NodeSection node,
+      OwnerSection settings,
+      Adapter adapter,
+      Metrics metrics,
+      DecisionLog log,
+      EventLoop loop)
+      throws IOException {
+    OwnerNode owner = new OwnerNode(node, settings, adapter, metrics, log, loop);
+    owner.tickedAtMs = EventLoop.nowMs();
+    loop.execute(() -> owner.controls.open(ControlAddresses.of(node)));
+    loop.every(owner::onTick, TICK_MS);
+    metrics.addGauge("hingehoist_owner_jobs", "Jobs without an answer.", owner.jobs::jobCount);
+    metrics.addGauge(
+        "hingehoist_owner_queued_tasks", "Tasks that wait for room.", owner.jobs::queuedCount);
+    metrics.addGauge(
+        "hingehoist_log_lines_dropped", "Log lines dropped under load.", log::droppedCount);
+    return owner;
+  }
+
+  /** Follows settings that were read again: new addresses of control replicas are used as well. */
+  public void reload(NodeSection newNode) {
+    loop.execute(() -> controls.open(ControlAddresses.of(newNode)));
+  }
+
+  private void answerReady(HttpCall call) {
+    boolean ready = !isStopping() && routes.version() > 0 && jobs.hasReadyWorker(EventLoop.nowMs());
+    call.answer(HttpAnswer.text(ready ? 200 : 503, ready ? "ready" : "not ready"));
+  }
+
+  private boolean isStopping() {
+    return stopAtMs != Long.MAX_VALUE;
+  }
+
+  // Time.
+
+  private void onTick() {
+    long now = EventLoop.nowMs();
+    if (now - tickedAtMs >= timing.ownerLeaseMs()) {
+      standstill(now - tickedAtMs);
+    }
+    tickedAtMs = now;
+    controls.onTick(now);
+    hosts.onTick(now);
+    hosts.knock(controls.directory().peers(Role.AGENT), now);
+    jobs.onTick(now);
+    settle();
+    if (isStopping()) {
+      checkStop(now);
+    }
+  }
+
+  /** The hosts have stopped this owner's runs by now, and its callers may be elsewhere. */
+  private void standstill(long ms) {
+    log.write("stoodStill", node.nodeId(), "ms=" + ms + " jobsDropped=" + jobs.jobCount());
+    jobs.dropAll("owner stood still");
+    hosts.loseAll();
+  }
+
+  private long stopTimeoutMs() {
+    return (long) (settings.stopTimeoutSeconds() * 1_000);
+  }
+
+  private void checkStop(long now) {
+    boolean quiet = now - stopAtMs >= STOP_TAKING_AFTER_MS && front.openCalls() == 0;
+    boolean late = now - stopAtMs >= stopTimeoutMs() - STOP_MARGIN_MS;
+    if (quiet || late) {
+      settled.countDown();
+    }
+  }
+
+  /**
+   * Stops as planned: is not ready any more, takes jobs until the platform has turned away, and
+   * waits for those that are here. Returns whether all were answered. Called from another thread.
+   */
+  public boolean stop() {
+    loop.execute(
+        () -> {
+          stopAtMs = EventLoop.nowMs();
+          front.closeAfterAnswers();
+          log.write("stopping", node.nodeId(), "jobs=" + jobs.jobCount());
+        });
+    try {
+      boolean ended = settled.await(stopTimeoutMs(), TimeUnit.MILLISECONDS);
+      log.write("stopped", node.nodeId(), "jobsLeft=" + jobs.jobCount());
+      return ended && jobs.jobCount() == 0;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  // Effects.
+
+  /** Carries out what was decided, once for all events of one round of the loop. */
+  private void settleLater() {
+    if (!settling) {
+      settling = true;
+      loop.execute(this::settle);
+    }
+  }
+
+  private void settle() {
+    settling = false;
+    jobs.place(EventLoop.nowMs());
+    List<OwnerEffect> effects = jobs.takeEffects();
+    effects.forEach(this::carryOut);
+    if (!effects.isEmpty()) {
+      // An answer may have freed a caller's connection for its next job.
+      settleLater();
+    }
+  }
+
+  private void carryOut(OwnerEffect effect) {
+    switch (effect) {
+      case OwnerEffect.ToHost to -> hosts.send(to.hostId(), to.message());
+      case OwnerEffect.Noted noted -> log.write(noted.decision());
+      case OwnerEffect.Answer answer -> answer(answer.jobId(), answer.end());
+    }
+  }
+
+  private void answer(String jobId, JobEnd end) {
+    long ms = EventLoop.nowMs() - takenAtMs.remove(jobId);
+    String kind = end.getClass().getSimpleName();
+    metrics.noteAnswer("job", kind, ms / 1_000.0);
+    log.write(
+        new io.hingehoist.run.Decision("jobAnswered", jobId, "", "", "ms=" + ms + " end=" + end));
+    waiters.end(jobId, end);
+  }
+
+  // What callers ask for, by the adapter.
+
+  @Override
+  public Optional<RouteTable> routes() {
+    return routes.version() == 0 ? Optional.empty() : Optional.of(routes);
+  }
+
+  @Override
+  public void readNewestRoutes(Consumer<Optional<RouteTable>> result) {
+    controls.read(
+        CONFIGURATION,
+        found -> {
+          found
+              .filter(document -> document.version() > 0)
+              .ifPresent(document -> takeRoutes(document.version(), document.content()));
+          result.accept(found.map(document -> routes));
+        });
+  }
+
+  @Override
+  public boolean refusesJobs() {
+    return isStopping() && EventLoop.nowMs() - stopAtMs >= STOP_TAKING_AFTER_MS;
+  }
+
+  @Override
+  public void submit(JobPlan plan, Waiter waiter) {
+    long now = EventLoop.nowMs();
+    waiters.add(plan.jobId(), waiter);
+    if (jobs.submit(plan, now)) {
+      takenAtMs.put(plan.jobId(), now);
+    }
+    settleLater();
+  }
+
+  @Override
+  public void leave(String jobId, Waiter waiter) {
+    if (waiters.remove(jobId, waiter)) {
+      jobs.abandon(jobId, "caller left");
+      settleLater();
+    }
+  }
+
+  @Override
+  public boolean cancel(String jobId) {
+    boolean found = jobs.cancel(jobId);
+    settleLater();
+    return found;
+  }
+
+  @Override
+  public boolean isHere(String jobId) {
+    return takenAtMs.containsKey(jobId);
+  }
+
+  @Override
+  public long pendingCount(String queue) {
+    return jobs.pendingCount(queue);
+  }
+
+  // What control replicas and hosts say.
+
+  private void takeRoutes(long version, io.hingehoist.message.Bytes content) {
+    if (version <= routes.version()) {
+      return;
+    }
+    routes = adapter.toRoutes(version, content);
+    log.write("configurationInForce", node.nodeId(), "version=" + version);
+  }
+
+  private final class ControlListener implements ControlLinks.Listener {
+    @Override
+    public void onDirectory(PeerDirectory directory) {}
+
+    @Override
+    public void onDocument(DocumentUpdate update) {
+      if (update.name().equals(CONFIGURATION)) {
+        takeRoutes(update.version(), update.content());
+      }
+    }
+
+    @Override
+    public void onControl(String address, boolean found) {
+      log.write(found ? "controlFound" : "controlLost", address, "");
+    }
+  }
+
+  private final class HostListener implements HostSessions.Listener {
+    @Override
+    public void onOpened(String hostId, SessionOpened opened) {
+      jobs.sessionOpened(hostId, opened.hostIncarnation());
+      settleLater();
+    }
+
+    @Override
+    public void onMessage(String hostId, Message message) {
+      long now = EventLoop.nowMs();
+      switch (message) {
+        case HostRows rows -> jobs.hostRows(hostId, rows);
+        case RunEnded ended -> {
+          metrics.noteTask(ended.end().name());
+          jobs.runEnded(hostId, ended, now);
+        }
+        case RunNotStarted report -> jobs.runNotStarted(hostId, report, now);
+        default -> metrics.noteBadFrame();
+      }
+      settleLater();
+    }
+
+    @Override
+    public void onLost(String hostId, boolean silent) {
+      jobs.sessionLost(hostId, silent, EventLoop.nowMs());
+      settleLater();
+    }
+
+    @Override
+    public void onAnnounce(Peer peer) {
+      controls.told(peer);
+    }
+  }
+
+  @Override
+  public void close() {
+    front.close();
+    hosts.close();
+    controls.close();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/owner/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * The process of an owner: takes best-effort jobs and sees to their runs at hosts. Begin with
+ * {@link io.hingehoist.owner.OwnerNode}; the decisions are in {@link io.hingehoist.run.JobOwner}.
+ */
+package io.hingehoist.owner;
--- a/daemon/src/main/java/io/hingehoist/quorum/ClientRequests.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ClientRequests.java
@@ -2,7 +2,9 @@
 
 import io.hingehoist.command.Command;
 import io.hingehoist.command.CommandResult;
+import io.hingehoist.command.DocumentVersion;
 import io.hingehoist.command.FindJob;
+import io.hingehoist.command.GetDocument;
 import io.hingehoist.command.GetJob;
 import io.hingehoist.command.GetReport;
 import io.hingehoist.command.JobRecord;
@@ -24,7 +26,7 @@
 import io.hingehoist.message.Role;
 import io.hingehoist.replication.Replica;
 import io.hingehoist.state.JobRow;
-import io.hingehoist.wire.FrameConnection;
+import io.hingehoist.wire.MessageSink;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -39,9 +41,9 @@
  * round of heartbeats, and queries for the end of a job. Owned by the control thread.
  */
 final class ClientRequests {
-  private record Waiting(FrameConnection connection, Message request) {}
+  private record Waiting(MessageSink client, Message request) {}
 
-  private record JobWaiter(FrameConnection connection, long requestId, long expiresAtMs) {}
+  private record JobWaiter(MessageSink client, long requestId, long expiresAtMs) {}
 
   private final Supplier<ControlState> state;
   private final Replica replica;
@@ -58,8 +60,8 @@
   }
 
   /** Notes a request and returns the token that stands for it. */
-  long add(FrameConnection connection, Message request) {
-    byToken.put(++nextToken, new Waiting(connection, request));
+  long add(MessageSink client, Message request) {
+    byToken.put(++nextToken, new Waiting(client, request));
     return nextToken;
   }
 
@@ -69,12 +71,11 @@
   }
 
   /** Returns whether a proposal holds a command; answers it if not. */
-  static Optional<Command> commandOf(FrameConnection connection, ProposeRequest request) {
+  static Optional<Command> commandOf(MessageSink client, ProposeRequest request) {
     try {
       return Optional.of(Command.fromBytes(request.command()));
     } catch (IOException e) {
-      connection.send(
-          new ProposeResponse(request.requestId(), ReplyStatus.INVALID, "", Bytes.empty()));
+      client.send(new ProposeResponse(request.requestId(), ReplyStatus.INVALID, "", Bytes.empty()));
       return Optional.empty();
     }
   }
@@ -104,7 +105,7 @@
                 waiters.forEach(
                     waiter ->
                         waiter
-                            .connection()
+                            .client()
                             .send(
                                 new QueryResponse(
                                     waiter.requestId(),
@@ -124,7 +125,7 @@
           case HeartbeatRequest r -> emptyHeartbeat(r.requestId(), status, leader);
           default -> throw new IllegalStateException("not a request: " + waiting.request());
         };
-    waiting.connection().send(answer);
+    waiting.client().send(answer);
   }
 
   private static HeartbeatResponse emptyHeartbeat(
@@ -148,7 +149,7 @@
     Waiting waiting = byIndex.remove(index);
     if (waiting != null && waiting.request() instanceof ProposeRequest request) {
       waiting
-          .connection()
+          .client()
           .send(
               new ProposeResponse(
                   request.requestId(), ReplyStatus.OK, replica.leaderAddress(), result.toBytes()));
@@ -162,8 +163,8 @@
       return;
     }
     switch (waiting.request()) {
-      case HeartbeatRequest request -> waiting.connection().send(answer(request));
-      case QueryRequest request -> answer(waiting.connection(), request, nowMs);
+      case HeartbeatRequest request -> waiting.client().send(answer(request));
+      case QueryRequest request -> answer(waiting.client(), request, nowMs);
       default -> throw new IllegalStateException("not a read: " + waiting.request());
     }
   }
@@ -192,37 +193,45 @@
         memberState);
   }
 
-  private void answer(FrameConnection connection, QueryRequest request, long nowMs) {
+  private void answer(MessageSink client, QueryRequest request, long nowMs) {
     Query query;
     try {
       query = Query.fromBytes(request.query());
     } catch (IOException e) {
-      connection.send(
-          new QueryResponse(request.requestId(), ReplyStatus.INVALID, "", Bytes.empty()));
+      client.send(new QueryResponse(request.requestId(), ReplyStatus.INVALID, "", Bytes.empty()));
       return;
     }
     switch (query) {
       case GetJob get ->
-          send(connection, request.requestId(), record(state.get().job(get.jobId()), true));
-      case FindJob find -> answer(connection, request.requestId(), find, nowMs);
+          send(client, request.requestId(), record(state.get().job(get.jobId()), true));
+      case FindJob find -> answer(client, request.requestId(), find, nowMs);
+      case GetDocument get -> send(client, request.requestId(), version(get.name()));
       case GetReport get ->
           send(
-              connection,
+              client,
               request.requestId(),
               new Report(Reports.render(get.report(), get.argument(), state.get(), replica)));
     }
   }
 
-  private void answer(FrameConnection connection, long requestId, FindJob find, long nowMs) {
+  private void answer(MessageSink client, long requestId, FindJob find, long nowMs) {
     Optional<JobRow> row = state.get().job(find.caller(), find.submissionId());
     boolean running = row.isPresent() && row.get().outcome().isEmpty();
     if (running && find.waitMs() > 0) {
       jobWaiters
           .computeIfAbsent(row.get().jobId(), id -> new ArrayList<>())
-          .add(new JobWaiter(connection, requestId, nowMs + find.waitMs()));
+          .add(new JobWaiter(client, requestId, nowMs + find.waitMs()));
       return;
     }
-    send(connection, requestId, record(row, false));
+    send(client, requestId, record(row, false));
+  }
+
+  private QueryAnswer version(String document) {
+    return state
+        .get()
+        .document(document)
+        .map(row -> new DocumentVersion(row.version(), row.content()))
+        .orElse(new DocumentVersion(0, Bytes.empty()));
   }
 
   private QueryAnswer record(Optional<JobRow> found, boolean withPayloads) {
@@ -247,8 +256,8 @@
         state.get().agentsLostSince(row));
   }
 
-  private void send(FrameConnection connection, long requestId, QueryAnswer answer) {
-    connection.send(
+  private void send(MessageSink client, long requestId, QueryAnswer answer) {
+    client.send(
         new QueryResponse(requestId, ReplyStatus.OK, replica.leaderAddress(), answer.toBytes()));
   }
 
@@ -261,7 +270,7 @@
   }
 
   private void answerWaiter(long jobId, JobWaiter waiter) {
-    send(waiter.connection(), waiter.requestId(), record(state.get().job(jobId), false));
+    send(waiter.client(), waiter.requestId(), record(state.get().job(jobId), false));
   }
 
   /** Answers those who have waited for as long as they asked to, or whose connection is gone. */
@@ -271,7 +280,7 @@
           Iterator<JobWaiter> iterator = waiters.iterator();
           while (iterator.hasNext()) {
             JobWaiter waiter = iterator.next();
-            if (waiter.expiresAtMs() <= nowMs || !waiter.connection().isOpen()) {
+            if (waiter.expiresAtMs() <= nowMs || !waiter.client().isOpen()) {
               iterator.remove();
               answerWaiter(jobId, waiter);
             }
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlEvent.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlEvent.java
@@ -1,7 +1,9 @@
 package io.hingehoist.quorum;
 
+import io.hingehoist.message.Announce;
 import io.hingehoist.message.Message;
-import io.hingehoist.wire.FrameConnection;
+import io.hingehoist.wire.MessageSink;
+import java.util.List;
 
 /** Something that traffic threads hand to the control thread. */
 sealed interface ControlEvent {
@@ -9,8 +11,14 @@
   /** Another replica sent a message. */
   record FromReplica(Message message) implements ControlEvent {}
 
-  /** An entry or agent sent a request. */
-  record FromClient(FrameConnection connection, Message message) implements ControlEvent {}
+  /** An entry or agent, or an adapter in this process, sent a request. */
+  record FromClient(MessageSink client, Message message) implements ControlEvent {}
+
+  /** A process made itself known. */
+  record Announced(MessageSink sender, Announce announce) implements ControlEvent {}
+
+  /** The settings name other replicas. */
+  record AddressesChanged(List<String> addresses) implements ControlEvent {}
 
   /** The platform's list of boxes was read. */
   record Platform(PlatformList.Boxes boxes) implements ControlEvent {}
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -5,14 +5,18 @@
 import io.hingehoist.command.Command;
 import io.hingehoist.command.CommandResult;
 import io.hingehoist.command.CompleteJob;
+import io.hingehoist.command.DocumentAccepted;
+import io.hingehoist.command.PublishDocument;
 import io.hingehoist.command.SettingsAccepted;
 import io.hingehoist.command.SettingsRefused;
 import io.hingehoist.control.ControlState;
 import io.hingehoist.control.Liveness;
 import io.hingehoist.journal.Disk;
 import io.hingehoist.journal.Journal;
+import io.hingehoist.message.Announce;
 import io.hingehoist.message.AppendRequest;
 import io.hingehoist.message.AppendResponse;
+import io.hingehoist.message.Bytes;
 import io.hingehoist.message.EntryKind;
 import io.hingehoist.message.HeartbeatRequest;
 import io.hingehoist.message.Hello;
@@ -20,8 +24,11 @@
 import io.hingehoist.message.LogEntry;
 import io.hingehoist.message.MemberState;
 import io.hingehoist.message.Message;
+import io.hingehoist.message.Peer;
 import io.hingehoist.message.ProposeRequest;
+import io.hingehoist.message.ProposeResponse;
 import io.hingehoist.message.QueryRequest;
+import io.hingehoist.message.ReplyStatus;
 import io.hingehoist.message.Role;
 import io.hingehoist.message.SnapshotAck;
 import io.hingehoist.message.SnapshotChunk;
@@ -37,11 +44,12 @@
 import io.hingehoist.settings.ControlSection;
 import io.hingehoist.settings.NodeSection;
 import io.hingehoist.state.AgentRow;
+import io.hingehoist.state.DocumentRow;
 import io.hingehoist.wire.Addresses;
 import io.hingehoist.wire.FrameConnection;
 import io.hingehoist.wire.FrameHandler;
-import io.hingehoist.wire.FrameLink;
 import io.hingehoist.wire.FrameServer;
+import io.hingehoist.wire.MessageSink;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -81,7 +89,10 @@
   private final Replica replica;
   private final Liveness liveness;
   private final ClientRequests requests;
-  private final Map<String, FrameLink> links = new HashMap<>();
+  private final ReplicaLinks links;
+  private final Discovery discovery;
+  private final boolean discovers;
+  private final int voterCount;
   private final BlockingQueue<ControlEvent> inbox = new LinkedBlockingQueue<>();
   private final List<ReplicaEffect.SendDurable> afterSync = new ArrayList<>();
   private final Map<Command, Long> proposedAtMs = new HashMap<>();
@@ -108,6 +119,9 @@
     this.journal = journal;
     this.metrics = metrics;
     this.fatal = fatal;
+    List<String> controlAddresses = ControlAddresses.of(node);
+    this.voterCount =
+        settings.lossesBorne() == 0 ? controlAddresses.size() : 2 * settings.lossesBorne() + 1;
     LogSnapshot snapshot = journal.recovered().snapshot();
     this.state = ControlState.fromBytes(snapshot.state());
     this.appliedIndex = snapshot.lastIndex();
@@ -117,7 +131,8 @@
             journal.identity().replicaId(),
             settings.listenAddress(),
             journal.identity().clusterId(),
-            node.controlAddresses(),
+            controlAddresses,
+            voterCount,
             ReplicaTiming.of(settings.electionTimeoutMs(), settings.heartbeatMs()),
             new Random(),
             journal.recovered(),
@@ -125,20 +140,18 @@
     this.liveness = Liveness.create(settings.memberTimeoutMs());
     this.requests = new ClientRequests(() -> state, replica, settings.leaseMs());
     Hello hello = new Hello(Role.CONTROL, replica.id(), 0, "", FrameConnection.PROTOCOL_VERSION);
-    for (String address : node.controlAddresses()) {
-      if (!address.equals(settings.listenAddress())) {
-        links.put(
-            address,
-            FrameLink.open(
-                address,
+    this.links =
+        new ReplicaLinks(settings.listenAddress(), hello, new ReplicaPeer(), metrics, threads);
+    this.discovers = node.peerPort() > 0;
+    this.discovery =
+        new Discovery(
+            new Peer(
+                node.nodeId(),
+                Role.CONTROL,
                 settings.listenAddress(),
-                hello,
-                new ReplicaPeer(),
-                metrics,
-                threads,
-                MAX_QUEUED_FRAMES));
-      }
-    }
+                System.currentTimeMillis(),
+                node.zone()));
+    controlAddresses.forEach(address -> links.open(address, nowMs()));
     this.server =
         FrameServer.open(
             Addresses.firstNonEmpty(settings.bindAddress(), settings.listenAddress()),
@@ -174,6 +187,19 @@
     return control;
   }
 
+  /** Follows settings that were read again: new addresses of replicas are used as well. */
+  public void reload(NodeSection node) {
+    inbox.add(new ControlEvent.AddressesChanged(ControlAddresses.of(node)));
+  }
+
+  /** Takes a request from within this process; the answer goes to the sink. */
+  public void submit(MessageSink client, Message request) {
+    if (!isFromClient(request)) {
+      throw new IllegalArgumentException("not a request: " + request);
+    }
+    inbox.add(new ControlEvent.FromClient(client, request));
+  }
+
   /** Returns whether this replica leads. */
   public boolean isLeading() {
     return leading;
@@ -225,6 +251,9 @@
       requests.expire(now);
       proposeDue(now);
     }
+    if (discovers) {
+      discover(now);
+    }
     carryOut(replica.flush(now));
     syncJournal();
     afterSync.forEach(send -> send(send.address(), send.message()));
@@ -235,32 +264,56 @@
   private void handle(ControlEvent event, long now) throws IOException {
     switch (event) {
       case ControlEvent.FromReplica from -> step(new ReplicaEvent.Received(from.message()), now);
-      case ControlEvent.FromClient from -> handle(from.connection(), from.message(), now);
+      case ControlEvent.FromClient from -> handle(from.client(), from.message(), now);
+      case ControlEvent.Announced announced -> handle(announced, now);
+      case ControlEvent.AddressesChanged changed ->
+          changed.addresses().forEach(address -> links.open(address, now));
       case ControlEvent.Platform platform -> handle(platform.boxes(), now);
     }
   }
 
-  private void handle(FrameConnection connection, Message message, long now) throws IOException {
+  private void handle(MessageSink client, Message message, long now) throws IOException {
     switch (message) {
       case ProposeRequest request -> {
-        if (ClientRequests.commandOf(connection, request).isPresent()) {
-          long token = requests.add(connection, request);
+        if (mayPropose(client, request)) {
+          long token = requests.add(client, request);
           propose(token, request.command(), now);
         }
       }
       case QueryRequest request ->
-          step(new ReplicaEvent.ReadRequested(requests.add(connection, request)), now);
+          step(new ReplicaEvent.ReadRequested(requests.add(client, request)), now);
       case HeartbeatRequest request -> {
         liveness.heard(request.role(), request.nodeId(), request.incarnation(), now);
         noteDraining(request, now);
-        step(new ReplicaEvent.ReadRequested(requests.add(connection, request)), now);
+        step(new ReplicaEvent.ReadRequested(requests.add(client, request)), now);
       }
       default -> throw new IllegalStateException("not a request: " + message);
     }
   }
 
-  private void propose(long token, io.hingehoist.message.Bytes command, long now)
-      throws IOException {
+  /**
+   * Until a document was accepted, none is before all voters are there: it must bear their loss.
+   */
+  private boolean mayPropose(MessageSink client, ProposeRequest request) {
+    Optional<Command> command = ClientRequests.commandOf(client, request);
+    boolean early =
+        command.isPresent()
+            && command.get() instanceof PublishDocument
+            && state.documents().isEmpty()
+            && replica.isLeader()
+            && replica.voters().size() < voterCount;
+    if (early) {
+      client.send(
+          new ProposeResponse(
+              request.requestId(),
+              ReplyStatus.UNAVAILABLE,
+              replica.leaderAddress(),
+              Bytes.empty()));
+    }
+    return command.isPresent() && !early;
+  }
+
+  private void propose(long token, Bytes command, long now) throws IOException {
     step(new ReplicaEvent.Proposed(token, command, System.currentTimeMillis()), now);
   }
 
@@ -361,22 +414,52 @@
   }
 
   private void send(String address, Message message) {
-    FrameLink link = links.get(address);
-    if (link != null) {
-      link.send(message);
-    }
+    links.send(address, message, nowMs());
+  }
+
+  /** Makes this replica known to the others, and takes note of where they are. */
+  private void discover(long now) {
+    discovery
+        .dueAnnounce(now)
+        .ifPresent(
+            announce -> {
+              links.sendToAll(announce);
+              links.renewSilent(now);
+              List<String> addresses = discovery.controlAddresses();
+              addresses.forEach(address -> links.open(address, now));
+              replica.knowAddresses(addresses);
+            });
+  }
+
+  private void handle(ControlEvent.Announced announced, long now) {
+    links.heard(announced.announce().self().address(), now);
+    discovery.onAnnounce(announced.sender(), announced.announce(), state.documents(), now);
   }
 
   private void apply(LogEntry entry) {
     CommandResult result = state.apply(entry);
     appliedIndex = entry.index();
     noteSettingsChange(result);
+    noteDocument(entry, result);
     if (entry.kind() == EntryKind.COMMAND) {
       requests.applied(entry.index(), result);
       completedJob(entry).ifPresent(requests::jobEnded);
     }
   }
 
+  private void noteDocument(LogEntry entry, CommandResult result) {
+    if (result instanceof DocumentAccepted accepted && entry.kind() == EntryKind.COMMAND) {
+      for (DocumentRow row : state.documents()) {
+        if (row.version() == accepted.heldVersion()) {
+          LOG.infof(
+              "event=documentApplied name=%s version=%d index=%d",
+              row.name(), row.version(), entry.index());
+          discovery.publish(row);
+        }
+      }
+    }
+  }
+
   private void noteSettingsChange(CommandResult result) {
     switch (result) {
       case SettingsAccepted accepted -> {
@@ -487,6 +570,8 @@
     public void onMessage(FrameConnection connection, Message message) {
       if (hello == null) {
         greet(connection, message);
+      } else if (message instanceof Announce announce) {
+        inbox.add(new ControlEvent.Announced(connection, announce));
       } else if (hello.role() == Role.CONTROL && isFromReplica(message)) {
         inbox.add(new ControlEvent.FromReplica(message));
       } else if (hello.role() != Role.CONTROL && isFromClient(message)) {
@@ -516,7 +601,7 @@
   public void close() {
     closed = true;
     server.close();
-    links.values().forEach(FrameLink::close);
+    links.close();
     LockSupport.unpark(platformThread);
     try {
       controlThread.join(TimeUnit.SECONDS.toMillis(5));
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/quorum/Discovery.java
@@ -0,0 +1,76 @@
+package io.hingehoist.quorum;
+
+import io.hingehoist.directory.PeerDirectory;
+import io.hingehoist.message.Announce;
+import io.hingehoist.message.Directory;
+import io.hingehoist.message.DocumentUpdate;
+import io.hingehoist.message.Peer;
+import io.hingehoist.message.Role;
+import io.hingehoist.state.DocumentRow;
+import io.hingehoist.wire.MessageSink;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * What a control replica knows of the deployment's processes, and who follows its documents. Owned
+ * by the control thread.
+ */
+final class Discovery {
+  private static final long ANNOUNCE_MS = 300;
+  private static final long KEPT_MS = 60_000;
+  private static final int MAX_PASSED_ON = 4_096;
+
+  private final Peer self;
+  private final PeerDirectory directory = PeerDirectory.create(KEPT_MS);
+  private final Set<MessageSink> followers = new HashSet<>();
+  private long announcedAtMs;
+
+  Discovery(Peer self) {
+    this.self = self;
+  }
+
+  /** Takes an announcement, and answers one that did not come from a control replica. */
+  void onAnnounce(
+      MessageSink sender, Announce announce, Collection<DocumentRow> documents, long nowMs) {
+    directory.told(announce.self(), nowMs);
+    announce.known().forEach(peer -> directory.learned(peer, nowMs));
+    if (announce.self().role() == Role.CONTROL) {
+      return;
+    }
+    directory.told(self, nowMs);
+    boolean current = announce.directoryVersion() == directory.version();
+    sender.send(new Directory(directory.version(), current ? List.of() : directory.peers()));
+    if (announce.self().role() == Role.ENTRY && followers.add(sender)) {
+      documents.forEach(row -> sender.send(toUpdate(row)));
+    }
+  }
+
+  /** Returns the announcement that is due to the other control replicas, if one is. */
+  Optional<Announce> dueAnnounce(long nowMs) {
+    if (nowMs - announcedAtMs < ANNOUNCE_MS) {
+      return Optional.empty();
+    }
+    announcedAtMs = nowMs;
+    directory.expire(nowMs);
+    followers.removeIf(follower -> !follower.isOpen());
+    List<Peer> known = directory.fresh(nowMs);
+    return Optional.of(
+        new Announce(self, known.subList(0, Math.min(MAX_PASSED_ON, known.size())), 0));
+  }
+
+  List<String> controlAddresses() {
+    return directory.peers(Role.CONTROL).stream().map(Peer::address).toList();
+  }
+
+  /** Brings a committed document to those that follow. */
+  void publish(DocumentRow row) {
+    followers.forEach(follower -> follower.send(toUpdate(row)));
+  }
+
+  private static DocumentUpdate toUpdate(DocumentRow row) {
+    return new DocumentUpdate(row.name(), row.version(), row.content());
+  }
+}
--- a/daemon/src/main/java/io/hingehoist/wire/FrameConnection.java
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameConnection.java
@@ -21,7 +21,7 @@
  * <p>A frame that is too long or not a message closes the connection and is counted. So does a peer
  * that reads so slowly that the queue fills up: it has to catch up on a new connection.
  */
-public final class FrameConnection implements AutoCloseable {
+public final class FrameConnection implements MessageSink, AutoCloseable {
   /** The version of the messages; processes of different versions do not talk to each other. */
   public static final int PROTOCOL_VERSION = 1;
 
@@ -75,12 +75,13 @@
     return id;
   }
 
-  /** Returns whether messages can still be sent. */
+  @Override
   public boolean isOpen() {
     return !closed.get();
   }
 
   /** Queues a message; returns whether it may arrive. A full queue closes the connection. */
+  @Override
   public boolean send(Message message) {
     if (closed.get()) {
       return false;
--- a/daemon/src/main/java/io/hingehoist/wire/FrameLink.java
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameLink.java
@@ -12,7 +12,7 @@
 
 /** Keeps a connection to one address open, and opens it anew when it breaks. Thread-safe. */
 public final class FrameLink implements AutoCloseable {
-  private static final int CONNECT_TIMEOUT_MS = 1_000;
+  private static final int CONNECT_TIMEOUT_MS = 400;
   private static final long RETRY_PAUSE_MS = 100;
 
   private final String address;
@@ -114,6 +114,14 @@
     return Optional.ofNullable(current.get()).filter(FrameConnection::isOpen);
   }
 
+  /** Gives the connection up, so that a new one is opened: nothing is heard from the peer. */
+  public void reset() {
+    FrameConnection connection = current.get();
+    if (connection != null) {
+      connection.close();
+    }
+  }
+
   /** Sends a message; returns whether it may arrive. */
   public boolean send(Message message) {
     FrameConnection connection = current.get();
--- a/scenarios/src/test/java/io/hingehoist/scenario/BadInputSteps.java
+++ b/scenarios/src/test/java/io/hingehoist/scenario/BadInputSteps.java
@@ -61,7 +61,10 @@
   @Then("a body of {int} bytes is refused with status {int}")
   public void tooLarge(int bytes, int status) throws Exception {
     String body = "{\"caller\":\"" + "x".repeat(bytes) + "\"}";
-    assertEquals(post("/v1/jobs", body).statusCode(), status);
+    // Often, because an answer that overtakes the body is lost only now and then.
+    for (int i = 0; i < 50; i++) {
+      assertEquals(post("/v1/jobs", body).statusCode(), status);
+    }
   }
 
   @When("garbage and an oversized frame are sent to every internal port")
