--- a/core/src/main/java/io/hingehoist/run/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/JobOwner.java
@@ -28,6 +28,9 @@
   /** After a refused number, the number goes up by this much: another owner used those below. */
   private static final long NUMBER_STEP = 16;
 
+  /** Failures on workers that fail everything end a job as well, so that it ends at all. */
+  private static final int MAX_UNCLEAR_FAILURES = 3;
+
   private static final long AVOID_MS = 1_000;
   private static final long RETRY_AFTER_MS = 1_000;
   private static final int MAX_MISSES_IN_A_PASS = 64;
@@ -238,15 +241,17 @@
   }
 
   private void failed(OwnedTask task) {
-    // A worker that fails everything says nothing of the task.
-    boolean counts = view(task).map(worker -> !worker.isFailing()).orElse(true);
-    if (counts) {
+    // A worker that fails everything says little of the task.
+    if (view(task).map(WorkerView::isFailing).orElse(false)) {
+      task.unclearFailures++;
+    } else {
       task.failures++;
     }
     task.avoidedWorkerId = task.workerId;
-    if (task.failures >= task.job.plan.attempts()) {
+    int attempts = task.job.plan.attempts();
+    if (task.failures >= attempts || task.unclearFailures >= attempts + MAX_UNCLEAR_FAILURES) {
       active.remove(task.name);
-      end(task.job, new JobEnd.Failed("task " + task.name + " failed " + task.failures + " times"));
+      end(task.job, new JobEnd.Failed("task " + task.name + " failed"));
     } else {
       requeue(task, RunEnd.FAILED.name());
     }
--- a/core/src/main/java/io/hingehoist/run/OwnedTask.java
+++ b/core/src/main/java/io/hingehoist/run/OwnedTask.java
@@ -23,6 +23,7 @@
   State state = State.BLOCKED;
   long runNumber;
   int failures;
+  int unclearFailures;
   String hostId = "";
   String workerId = "";
   String avoidedWorkerId = "";
--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -32,6 +32,11 @@
   private static final long SILENT_RETRY_MS = 100;
   private static final long QUICK_HOLD_MS = 2;
   private static final long STOP_RETRY_MS = 50;
+  private static final long SHOW_PAUSE_MS = 15;
+
+  /** A worker with less than this part of its room free is nearly full. */
+  private static final long TIGHT_DIVISOR = 4;
+
   private static final long FIRST_TOKEN_JUMP = 1_000;
 
   private final String hostId;
@@ -44,6 +49,7 @@
   private final Map<Long, String> endedSessions = new HashMap<>();
   private final List<HostEffect> effects = new ArrayList<>();
   private List<WorkerRow> shownRows = List.of();
+  private long shownAtMs;
   private long token;
   private long tokenJump = FIRST_TOKEN_JUMP;
   private boolean stopping;
@@ -223,7 +229,7 @@
   }
 
   private Optional<RunRefusal> refusalOf(WorkerLife life, StartRuns order, RunRef run, long nowMs) {
-    if (life == null || life.state(stopping, nowMs) != WorkerState.READY) {
+    if (life == null || !takesRuns(life.state(stopping, nowMs))) {
       return Optional.of(RunRefusal.NOT_READY);
     }
     if (life.runs().stream().anyMatch(other -> other.run.task().equals(run.task()))) {
@@ -232,6 +238,14 @@
     return Rooms.fits(order.need(), life.free()) ? Optional.empty() : Optional.of(RunRefusal.ROOM);
   }
 
+  /** That a worker fails what it runs is shown to owners, who may have no better one. */
+  private static boolean takesRuns(WorkerState state) {
+    return switch (state) {
+      case READY, FAILING -> true;
+      case DRAINING, SILENT -> false;
+    };
+  }
+
   private void refuse(long sessionId, RunRef run, String workerId, RunRefusal reason) {
     note("runRefused", run.task(), workerId, "run=" + run.number() + " reason=" + reason);
     send(sessionId, new RunNotStarted(run, reason));
@@ -500,13 +514,17 @@
     return lives.size();
   }
 
-  /** Shows the workers to every owner if something has changed since the last time. */
+  /**
+   * Shows the workers to every owner if something has changed since the last time. What owners
+   * don't wait for is put off for a moment, so that several changes go out together.
+   */
   public void showRows(long nowMs) {
     List<WorkerRow> rows = rows(nowMs);
-    if (rows.equals(shownRows)) {
+    if (rows.equals(shownRows) || (nowMs - shownAtMs < SHOW_PAUSE_MS && !isUrgent(rows))) {
       return;
     }
     shownRows = rows;
+    shownAtMs = nowMs;
     for (OwnerSession session : sessions.values()) {
       if (session.open) {
         send(session.id, new HostRows(session.lastOrder, rows));
@@ -514,6 +532,26 @@
     }
   }
 
+  /** Owners wait for room at a worker that was full, and must not use one that takes nothing. */
+  private boolean isUrgent(List<WorkerRow> rows) {
+    if (rows.size() != shownRows.size()) {
+      return true;
+    }
+    for (int i = 0; i < rows.size(); i++) {
+      WorkerRow shown = shownRows.get(i);
+      WorkerRow row = rows.get(i);
+      boolean freed = isTight(shown) && row.free().cpuMilli() > shown.free().cpuMilli();
+      if (freed || row.state() != shown.state() || !row.workerId().equals(shown.workerId())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean isTight(WorkerRow row) {
+    return row.free().cpuMilli() < row.capacity().cpuMilli() / TIGHT_DIVISOR;
+  }
+
   private List<WorkerRow> rows(long nowMs) {
     return lives.values().stream().map(life -> life.toRow(stopping, nowMs)).toList();
   }
--- /dev/null
+++ b/core/src/test/java/io/hingehoist/run/JobOwnerTest.java
@@ -0,0 +1,274 @@
+package io.hingehoist.run;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.hingehoist.message.HostRows;
+import io.hingehoist.message.Room;
+import io.hingehoist.message.RunEnd;
+import io.hingehoist.message.RunEnded;
+import io.hingehoist.message.RunNotStarted;
+import io.hingehoist.message.RunRef;
+import io.hingehoist.message.RunRefusal;
+import io.hingehoist.message.StartRuns;
+import io.hingehoist.message.StopRun;
+import io.hingehoist.message.WorkerRow;
+import io.hingehoist.message.WorkerState;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.Test;
+
+public final class JobOwnerTest {
+  private static final RunTiming TIMING = RunTiming.of(1_300, 1_000, 50);
+  private static final Room NEED = new Room(1_000, 10, 0);
+  private static final Room SMALL = new Room(2_000, 1_000, 0);
+
+  private final List<OwnerEffect> effects = new ArrayList<>();
+
+  private static WorkerRow row(String id, Room free, WorkerState state) {
+    return new WorkerRow(id, "s", "z", List.of("a", "r1"), SMALL, free, state);
+  }
+
+  private static JobPlan plan(String id, int priority, int attempts, StepPlan... steps) {
+    return new JobPlan(id, "q", "s", "spec", priority, attempts, 100, 300, List.of(steps));
+  }
+
+  private static StepPlan step(int count) {
+    return StepPlan.of(count, NEED, 100);
+  }
+
+  private JobOwner ownerWith(String... hosts) {
+    JobOwner owner = JobOwner.create(TIMING);
+    for (String host : hosts) {
+      owner.sessionOpened(host, 1);
+      show(owner, host, SMALL, 0);
+    }
+    settle(owner, 0);
+    return owner;
+  }
+
+  private void show(JobOwner owner, String host, Room free, long lastOrder) {
+    owner.hostRows(
+        host, new HostRows(lastOrder, List.of(row(host + "-w", free, WorkerState.READY))));
+  }
+
+  private void settle(JobOwner owner, long nowMs) {
+    owner.place(nowMs);
+    effects.clear();
+    effects.addAll(owner.takeEffects());
+  }
+
+  private List<RunRef> started() {
+    List<RunRef> runs = new ArrayList<>();
+    for (OwnerEffect effect : effects) {
+      if (effect instanceof OwnerEffect.ToHost to && to.message() instanceof StartRuns order) {
+        runs.addAll(order.runs());
+      }
+    }
+    return runs;
+  }
+
+  private List<JobEnd> answers() {
+    List<JobEnd> ends = new ArrayList<>();
+    for (OwnerEffect effect : effects) {
+      if (effect instanceof OwnerEffect.Answer answer) {
+        ends.add(answer.end());
+      }
+    }
+    return ends;
+  }
+
+  private long stops() {
+    return effects.stream()
+        .filter(e -> e instanceof OwnerEffect.ToHost to && to.message() instanceof StopRun)
+        .count();
+  }
+
+  @Test
+  public void completesAJobOnceEveryTaskHasEnded() {
+    JobOwner owner = ownerWith("h1");
+    owner.submit(plan("j", 0, 2, step(2)), 0);
+    settle(owner, 0);
+    assertEquals(started().size(), 2);
+    owner.runEnded("h1", new RunEnded(new RunRef("j.0.0", 1), RunEnd.DONE, 100), 100);
+    settle(owner, 100);
+    assertEquals(answers(), List.of());
+    owner.runEnded("h1", new RunEnded(new RunRef("j.0.1", 1), RunEnd.DONE, 100), 100);
+    settle(owner, 100);
+    assertEquals(answers(), List.of(new JobEnd.Completed()));
+  }
+
+  @Test
+  public void aSecondSubmissionJoinsTheFirst() {
+    JobOwner owner = ownerWith("h1");
+    assertTrue(owner.submit(plan("j", 0, 2, step(1)), 0));
+    assertFalse(owner.submit(plan("j", 0, 2, step(1)), 5));
+    settle(owner, 5);
+    assertEquals(started().size(), 1);
+  }
+
+  @Test
+  public void startsAStepOnlyAfterThoseBeforeIt() {
+    JobOwner owner = ownerWith("h1");
+    StepPlan second = new StepPlan(1, NEED, 100, List.of(0), "", "", 0);
+    owner.submit(plan("j", 0, 2, step(1), second), 0);
+    settle(owner, 0);
+    assertEquals(started(), List.of(new RunRef("j.0.0", 1)));
+    owner.runEnded("h1", new RunEnded(new RunRef("j.0.0", 1), RunEnd.DONE, 100), 100);
+    show(owner, "h1", SMALL, 1);
+    settle(owner, 100);
+    assertEquals(started(), List.of(new RunRef("j.1.0", 1)));
+  }
+
+  @Test
+  public void ordersNoMoreThanTheRoomThatItSees() {
+    JobOwner owner = ownerWith("h1");
+    owner.submit(plan("j", 0, 2, step(5)), 0);
+    settle(owner, 0);
+    assertEquals(started().size(), 2);
+    // A row from before the order shows the room as free; the order counts against it.
+    show(owner, "h1", SMALL, 0);
+    settle(owner, 1);
+    assertEquals(started().size(), 0);
+  }
+
+  @Test
+  public void whatIsMoreUrgentGoesFirst() {
+    JobOwner owner = ownerWith("h1");
+    owner.submit(plan("late", 2, 2, step(2)), 0);
+    owner.submit(plan("soon", 0, 2, step(2)), 0);
+    settle(owner, 0);
+    assertEquals(started(), List.of(new RunRef("soon.0.0", 1), new RunRef("soon.0.1", 1)));
+  }
+
+  @Test
+  public void aFailedTaskRunsAgainUntilItsAttemptsAreUsed() {
+    JobOwner owner = ownerWith("h1");
+    owner.submit(plan("j", 0, 2, step(1)), 0);
+    settle(owner, 0);
+    owner.runEnded("h1", new RunEnded(new RunRef("j.0.0", 1), RunEnd.FAILED, 10), 10);
+    show(owner, "h1", SMALL, 1);
+    settle(owner, 10);
+    assertEquals(started(), List.of(new RunRef("j.0.0", 2)));
+    owner.runEnded("h1", new RunEnded(new RunRef("j.0.0", 2), RunEnd.FAILED, 10), 20);
+    settle(owner, 20);
+    assertTrue(answers().getFirst() instanceof JobEnd.Failed);
+  }
+
+  @Test
+  public void failuresOnAWorkerThatFailsEverythingUseNoAttempt() {
+    JobOwner owner = ownerWith("h1", "h2");
+    owner.submit(plan("j", 0, 1, step(1)), 0);
+    settle(owner, 0);
+    String host = ((OwnerEffect.ToHost) effects.get(effects.size() - 1)).hostId();
+    owner.hostRows(host, new HostRows(1, List.of(row(host + "-w", SMALL, WorkerState.FAILING))));
+    owner.runEnded(host, new RunEnded(new RunRef("j.0.0", 1), RunEnd.FAILED, 10), 10);
+    settle(owner, 10);
+    assertEquals(answers(), List.of());
+    assertEquals(started(), List.of(new RunRef("j.0.0", 2)));
+  }
+
+  @Test
+  public void aRefusedNumberIsLeftFarBehind() {
+    JobOwner owner = ownerWith("h1");
+    owner.submit(plan("j", 0, 2, step(1)), 0);
+    settle(owner, 0);
+    owner.runNotStarted("h1", new RunNotStarted(new RunRef("j.0.0", 1), RunRefusal.OLD_NUMBER), 5);
+    show(owner, "h1", SMALL, 1);
+    settle(owner, 5);
+    assertEquals(started(), List.of(new RunRef("j.0.0", 18)));
+  }
+
+  @Test
+  public void runsOfALostHostStartElsewhereOnlyOnceTheyAreProvablyOver() {
+    JobOwner owner = ownerWith("h1");
+    owner.submit(plan("j", 0, 2, step(1)), 0);
+    settle(owner, 0);
+    owner.sessionLost("h1", true, 100);
+    owner.sessionOpened("h2", 1);
+    show(owner, "h2", SMALL, 0);
+    owner.onTick(100 + TIMING.overAfterSilenceMs() - 1);
+    settle(owner, 100 + TIMING.overAfterSilenceMs() - 1);
+    assertEquals(started(), List.of());
+    owner.onTick(100 + TIMING.overAfterSilenceMs());
+    settle(owner, 100 + TIMING.overAfterSilenceMs());
+    assertEquals(started(), List.of(new RunRef("j.0.0", 2)));
+  }
+
+  @Test
+  public void aNewSessionShowsThatTheRunsBeforeItAreOver() {
+    JobOwner owner = ownerWith("h1");
+    owner.submit(plan("j", 0, 2, step(1)), 0);
+    settle(owner, 0);
+    owner.sessionLost("h1", false, 100);
+    owner.sessionOpened("h1", 2);
+    show(owner, "h1", SMALL, 0);
+    settle(owner, 200);
+    assertEquals(started(), List.of(new RunRef("j.0.0", 2)));
+  }
+
+  @Test
+  public void stopsTheRunsOfAJobWhoseCallerLeft() {
+    JobOwner owner = ownerWith("h1");
+    owner.submit(plan("j", 0, 2, step(2)), 0);
+    settle(owner, 0);
+    owner.abandon("j", "caller left");
+    settle(owner, 10);
+    assertEquals(stops(), 2);
+    assertTrue(answers().getFirst() instanceof JobEnd.Dropped);
+  }
+
+  @Test
+  public void refusesAJobThatWasNotStartedInTime() {
+    JobOwner owner = JobOwner.create(TIMING);
+    owner.submit(plan("j", 0, 2, step(1)), 0);
+    owner.onTick(299);
+    settle(owner, 299);
+    assertEquals(answers(), List.of());
+    owner.onTick(300);
+    settle(owner, 300);
+    assertTrue(answers().getFirst() instanceof JobEnd.Refused);
+  }
+
+  @Test
+  public void aJobThatMayHaveStartedIsNeverRefused() {
+    JobOwner owner = ownerWith("h1");
+    owner.submit(plan("j", 0, 2, step(1)), 0);
+    settle(owner, 0);
+    owner.onTick(10_000);
+    settle(owner, 10_000);
+    assertEquals(answers(), List.of());
+  }
+
+  @Test
+  public void aJobWhoseOrdersWereAllRefusedCountsAsNotStarted() {
+    JobOwner owner = ownerWith("h1");
+    owner.submit(plan("j", 0, 2, step(1)), 0);
+    settle(owner, 0);
+    owner.runNotStarted("h1", new RunNotStarted(new RunRef("j.0.0", 1), RunRefusal.ROOM), 5);
+    show(owner, "h1", Rooms.none(), 1);
+    settle(owner, 5);
+    owner.onTick(300);
+    settle(owner, 300);
+    assertTrue(answers().getFirst() instanceof JobEnd.Refused);
+  }
+
+  @Test
+  public void movesARunFromAWorkerThatIsFarSlowerThanOthers() {
+    JobOwner owner = ownerWith("h1");
+    owner.submit(plan("j", 0, 2, step(2)), 0);
+    settle(owner, 0);
+    owner.sessionOpened("h2", 1);
+    show(owner, "h2", SMALL, 0);
+    owner.sessionOpened("h3", 1);
+    show(owner, "h3", SMALL, 0);
+    long stopped = 0;
+    for (long now = 25; now <= 2_000; now += 25) {
+      owner.onTick(now);
+      settle(owner, now);
+      stopped += stops();
+    }
+    assertEquals(stopped, 2);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/hingehoist/run/PlayedRuns.java
@@ -0,0 +1,604 @@
+package io.hingehoist.run;
+
+import io.hingehoist.message.HostRows;
+import io.hingehoist.message.Message;
+import io.hingehoist.message.OwnerBeat;
+import io.hingehoist.message.Room;
+import io.hingehoist.message.RunEnded;
+import io.hingehoist.message.RunNotStarted;
+import io.hingehoist.message.RunRef;
+import io.hingehoist.message.SessionOpened;
+import io.hingehoist.message.StartRuns;
+import io.hingehoist.message.StopRun;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Owners, hosts, workers and callers, with links that are cut, boxes that stand still and orders
+ * that are carried out late, played by a seed. After each step it checks that no worker is over its
+ * room and that no task runs twice at the same time.
+ */
+final class PlayedRuns {
+  static final RunTiming TIMING = RunTiming.of(1_300, 1_000, 50);
+  private static final long STEP_MS = 5;
+  private static final long BEAT_MS = 150;
+  private static final long RESUBMIT_MS = 1_300;
+  private static final long LATE_LIMIT_MS = 12_000;
+  private static final Room NEED = new Room(1_600, 100, 0);
+
+  private record Timed(long atMs, long sequence, Runnable action) {}
+
+  final class OwnerBox {
+    final String id;
+    JobOwner jobs = JobOwner.create(TIMING);
+    final Map<String, Session> sessions = new HashMap<>();
+    long standsUntilMs;
+    long lastTickMs;
+
+    OwnerBox(String id) {
+      this.id = id;
+    }
+
+    boolean stands() {
+      return nowMs < standsUntilMs;
+    }
+
+    void settle() {
+      jobs.place(nowMs);
+      for (OwnerEffect effect : jobs.takeEffects()) {
+        switch (effect) {
+          case OwnerEffect.ToHost to -> {
+            Session session = sessions.get(to.hostId());
+            if (session != null) {
+              session.toHost(to.message());
+            }
+          }
+          case OwnerEffect.Answer answer -> answered(this, answer.jobId(), answer.end());
+          case OwnerEffect.Noted noted -> trace.add(nowMs + " " + id + " " + noted.decision());
+        }
+      }
+    }
+  }
+
+  final class HostBox {
+    final String id;
+    final long bornMs;
+    WorkerHost host;
+    StandInWorker worker;
+    final Map<Long, Session> sessions = new HashMap<>();
+    long standsUntilMs;
+    long version;
+
+    HostBox(String id) {
+      this.id = id;
+      this.bornMs = nowMs;
+      this.worker = new StandInWorker(id + "-w1", id + ":1");
+      restart();
+    }
+
+    void restart() {
+      host = WorkerHost.create(id, nowMs, "z", TIMING, 1_000 + nowMs, nowMs);
+      sessions.values().forEach(session -> session.breakNow());
+      sessions.clear();
+    }
+
+    boolean stands() {
+      return nowMs < standsUntilMs;
+    }
+
+    void settle() {
+      host.showRows(nowMs);
+      for (HostEffect effect : host.takeEffects()) {
+        carryOut(effect);
+      }
+    }
+
+    private void carryOut(HostEffect effect) {
+      WorkerHost caller = host;
+      switch (effect) {
+        case HostEffect.CallStart call ->
+            callWorker(
+                call.workerId(),
+                w -> w.start(call.run(), NEED, runMs(), call.deadlineMs(), call.token(), nowMs),
+                new StartAnswer.Unanswered(),
+                new StartAnswer.Gone(),
+                a -> caller.startAnswered(call.workerId(), call.run(), a, nowMs));
+        case HostEffect.CallStop call ->
+            callWorker(
+                call.workerId(),
+                w -> {
+                  w.stop(call.run(), call.token(), nowMs);
+                  return true;
+                },
+                false,
+                false,
+                a -> caller.stopAnswered(call.workerId(), call.run(), a, nowMs));
+        case HostEffect.CallHold call -> hold(caller, call, nowMs + call.waitMs());
+        case HostEffect.ToOwner to -> {
+          Session session = sessions.get(to.sessionId());
+          if (session != null) {
+            session.toOwner(to.message());
+          }
+        }
+        case HostEffect.CloseSession close -> {
+          Session session = sessions.remove(close.sessionId());
+          if (session != null) {
+            session.closedByHost();
+          }
+        }
+        case HostEffect.Noted noted -> trace.add(nowMs + " " + id + " " + noted.decision());
+      }
+    }
+
+    private void hold(WorkerHost caller, HostEffect.CallHold call, long untilMs) {
+      boolean waits =
+          worker.up
+              && worker.id.equals(call.workerId())
+              && nowMs < untilMs
+              && !worker.hasNewEnds(call.lastSeen());
+      if (waits && caller == host) {
+        if (nowMs == untilMs - call.waitMs()) {
+          worker.hold(call.deadlineMs(), call.token(), 0, nowMs);
+        }
+        after(STEP_MS, () -> hold(caller, call, untilMs));
+        return;
+      }
+      callWorker(
+          call.workerId(),
+          w -> w.hold(call.deadlineMs(), call.token(), call.lastSeen(), nowMs),
+          new HoldAnswer.Unanswered(),
+          new HoldAnswer.Gone(),
+          a -> caller.holdAnswered(call.workerId(), a, nowMs));
+    }
+
+    private <A> void callWorker(
+        String workerId,
+        java.util.function.Function<StandInWorker, A> call,
+        A unanswered,
+        A gone,
+        java.util.function.Consumer<A> answer) {
+      WorkerHost caller = host;
+      StandInWorker target = worker;
+      if (!target.up) {
+        reply(caller, 100, () -> answer.accept(dark ? unanswered : gone));
+      } else if (!target.id.equals(workerId)) {
+        reply(caller, 1, () -> answer.accept(gone));
+      } else if (random.nextInt(1_000) < lateShare) {
+        after(
+            2_000 + random.nextLong(LATE_LIMIT_MS - 2_000),
+            () -> {
+              if (target.up) {
+                A ignored = call.apply(target);
+                trace.add(nowMs + " late " + ignored);
+              }
+            });
+        reply(caller, 150, () -> answer.accept(unanswered));
+      } else {
+        A result = call.apply(target);
+        reply(caller, 1 + random.nextInt(3), () -> answer.accept(result));
+      }
+    }
+
+    /** A box that stands still takes its answers in when it goes on. */
+    private void reply(WorkerHost caller, long delayMs, Runnable action) {
+      after(
+          delayMs,
+          () -> {
+            if (caller != host) {
+              return;
+            }
+            if (stands()) {
+              reply(caller, standsUntilMs - nowMs + 1, action);
+              return;
+            }
+            action.run();
+            settle();
+          });
+    }
+  }
+
+  /** A connection between an owner and a host; what a cut holds up arrives after it. */
+  final class Session {
+    final long id = ++lastSession;
+    final OwnerBox owner;
+    final HostBox box;
+    final WorkerHost host;
+    boolean openAtOwner = true;
+    boolean openAtHost = true;
+    long heardByOwnerMs = nowMs;
+    long lastToHostMs;
+    long lastToOwnerMs;
+
+    Session(OwnerBox owner, HostBox box) {
+      this.owner = owner;
+      this.box = box;
+      this.host = box.host;
+    }
+
+    private long delayMs() {
+      return 1 + random.nextInt(4);
+    }
+
+    private long cutEndsMs() {
+      return cuts.getOrDefault(owner.id + box.id, 0L);
+    }
+
+    void toHost(Message message) {
+      long atMs = Math.max(Math.max(nowMs, cutEndsMs()) + delayMs(), lastToHostMs);
+      lastToHostMs = atMs;
+      deliver(atMs, () -> box.stands() ? box.standsUntilMs : 0, () -> arriveAtHost(message));
+    }
+
+    void toOwner(Message message) {
+      long atMs = Math.max(Math.max(nowMs, cutEndsMs()) + delayMs(), lastToOwnerMs);
+      lastToOwnerMs = atMs;
+      deliver(atMs, () -> owner.stands() ? owner.standsUntilMs : 0, () -> arriveAtOwner(message));
+    }
+
+    private void deliver(long atMs, java.util.function.LongSupplier heldUntil, Runnable action) {
+      at(
+          atMs,
+          () -> {
+            long until = heldUntil.getAsLong();
+            if (until > nowMs) {
+              deliver(until + 1, heldUntil, action);
+            } else {
+              action.run();
+            }
+          });
+    }
+
+    private void arriveAtHost(Message message) {
+      if (!openAtHost || box.host != host) {
+        return;
+      }
+      switch (message) {
+        case OwnerBeat beat -> host.ownerBeat(id, beat.sentAtMs(), nowMs);
+        case StartRuns order -> host.startRuns(id, order, nowMs);
+        case StopRun order -> host.stopRun(id, order.run(), nowMs);
+        default -> throw new IllegalStateException("not for a host: " + message);
+      }
+      box.settle();
+    }
+
+    private void arriveAtOwner(Message message) {
+      if (!openAtOwner) {
+        return;
+      }
+      heardByOwnerMs = nowMs;
+      switch (message) {
+        case SessionOpened opened -> owner.jobs.sessionOpened(box.id, opened.hostIncarnation());
+        case HostRows rows -> owner.jobs.hostRows(box.id, rows);
+        case RunEnded ended -> owner.jobs.runEnded(box.id, ended, nowMs);
+        case RunNotStarted report -> owner.jobs.runNotStarted(box.id, report, nowMs);
+        default -> throw new IllegalStateException("not for an owner: " + message);
+      }
+      owner.settle();
+    }
+
+    void closedByHost() {
+      openAtHost = false;
+      at(Math.max(nowMs, cutEndsMs()) + 2, () -> loseAtOwner(false));
+    }
+
+    void loseAtOwner(boolean silent) {
+      if (openAtOwner) {
+        openAtOwner = false;
+        owner.sessions.remove(box.id);
+        owner.jobs.sessionLost(box.id, silent, nowMs);
+        at(Math.max(nowMs, cutEndsMs()) + 2, this::endAtHost);
+      }
+    }
+
+    private void endAtHost() {
+      if (openAtHost && box.host == host && !box.stands()) {
+        openAtHost = false;
+        box.sessions.remove(id);
+        host.sessionEnded(id, "closed", nowMs);
+        box.settle();
+      }
+    }
+
+    void breakNow() {
+      openAtHost = false;
+      at(Math.max(nowMs, cutEndsMs()) + 2, () -> loseAtOwner(false));
+    }
+  }
+
+  private final class CallersJob {
+    final JobPlan plan;
+    int ownerIndex;
+    String state = "open";
+    int attempt;
+
+    CallersJob(JobPlan plan, int ownerIndex) {
+      this.plan = plan;
+      this.ownerIndex = ownerIndex;
+    }
+  }
+
+  private final Random random;
+  private final PriorityQueue<Timed> timeline =
+      new PriorityQueue<>(
+          java.util.Comparator.comparingLong(Timed::atMs).thenComparingLong(Timed::sequence));
+  private final List<OwnerBox> owners = new ArrayList<>();
+  private final List<HostBox> boxes = new ArrayList<>();
+  private final Map<String, Long> cuts = new HashMap<>();
+  private final Map<String, CallersJob> jobs = new HashMap<>();
+  final List<String> trace = new ArrayList<>();
+  private final Set<String> ends = new TreeSet<>();
+  private long sequence;
+  private long lastSession;
+  private int lateShare;
+  private boolean dark;
+  private boolean stopsArriving;
+  private int jobCount;
+  long nowMs = 1;
+
+  PlayedRuns(long seed) {
+    this.random = new Random(seed);
+    this.lateShare = random.nextInt(60);
+    for (int i = 0; i < 3; i++) {
+      owners.add(new OwnerBox("o" + i));
+      boxes.add(new HostBox("h" + i));
+    }
+  }
+
+  private void at(long atMs, Runnable action) {
+    timeline.add(new Timed(Math.max(atMs, nowMs), ++sequence, action));
+  }
+
+  private void after(long delayMs, Runnable action) {
+    at(nowMs + delayMs, action);
+  }
+
+  private long runMs() {
+    return 20 + random.nextInt(600);
+  }
+
+  /** Plays for a time with faults, then for a while without. */
+  void play(long withFaultsMs, long calmMs) {
+    long endMs = nowMs + withFaultsMs + calmMs;
+    long calmFromMs = nowMs + withFaultsMs;
+    while (nowMs < endMs) {
+      nowMs += STEP_MS;
+      while (!timeline.isEmpty() && timeline.peek().atMs() <= nowMs) {
+        timeline.remove().action().run();
+      }
+      boxes.forEach(box -> box.worker.tick(nowMs));
+      stopsArriving = nowMs >= calmFromMs;
+      if (!stopsArriving) {
+        maybeFault();
+        maybeJob();
+      } else {
+        lateShare = 0;
+        boxes.forEach(box -> box.worker.failsAll = false);
+      }
+      tickAll();
+      check();
+    }
+  }
+
+  private void maybeJob() {
+    if (random.nextInt(100) < 6) {
+      String id = "%016x".formatted(++jobCount);
+      StepPlan step = StepPlan.of(1 + random.nextInt(4), NEED, 300);
+      JobPlan plan =
+          new JobPlan(id, "q", "s", "spec", random.nextInt(3), 3, 1_000, 20_000, List.of(step));
+      CallersJob job = new CallersJob(plan, random.nextInt(owners.size()));
+      jobs.put(id, job);
+      submit(job);
+    }
+  }
+
+  private void submit(CallersJob job) {
+    OwnerBox owner = owners.get(job.ownerIndex);
+    if (owner.stands()) {
+      resubmitLater(job);
+      return;
+    }
+    trace.add(nowMs + " submit " + job.plan.jobId() + " to " + owner.id);
+    owner.jobs.submit(job.plan, nowMs);
+    owner.settle();
+  }
+
+  private void resubmitLater(CallersJob job) {
+    int attempt = ++job.attempt;
+    after(
+        RESUBMIT_MS,
+        () -> {
+          if (job.state.equals("open") && job.attempt == attempt) {
+            job.ownerIndex = (job.ownerIndex + 1) % owners.size();
+            submit(job);
+          }
+        });
+  }
+
+  private void answered(OwnerBox owner, String jobId, JobEnd end) {
+    CallersJob job = jobs.get(jobId);
+    if (owners.get(job.ownerIndex) != owner) {
+      return;
+    }
+    if (end instanceof JobEnd.Dropped) {
+      resubmitLater(job);
+    } else {
+      job.state = end.toString();
+      ends.add(end.getClass().getSimpleName());
+    }
+  }
+
+  private void maybeFault() {
+    if (random.nextInt(1_000) >= 12) {
+      return;
+    }
+    OwnerBox owner = owners.get(random.nextInt(owners.size()));
+    HostBox box = boxes.get(random.nextInt(boxes.size()));
+    switch (random.nextInt(8)) {
+      case 0 -> cuts.put(owner.id + box.id, nowMs + 100 + random.nextInt(4_000));
+      case 1 -> standStill(owner);
+      case 2 -> box.standsUntilMs = nowMs + 100 + random.nextInt(3_000);
+      case 3 -> box.restart();
+      case 4 -> killOwner(owner);
+      case 5 -> crashWorker(box);
+      case 6 -> leave(owner);
+      default -> box.worker.failsAll = !box.worker.failsAll;
+    }
+  }
+
+  private void standStill(OwnerBox owner) {
+    owner.standsUntilMs = nowMs + 100 + random.nextInt(4_000);
+  }
+
+  /** The callers of a killed owner see their connections break at once. */
+  private void killOwner(OwnerBox owner) {
+    owner.jobs = JobOwner.create(TIMING);
+    List.copyOf(owner.sessions.values())
+        .forEach(
+            session -> {
+              session.openAtOwner = false;
+              at(Math.max(nowMs, session.cutEndsMs()) + 2, session::endAtHost);
+            });
+    owner.sessions.clear();
+    for (CallersJob job : jobs.values()) {
+      if (job.state.equals("open") && owners.get(job.ownerIndex) == owner) {
+        trace.add(nowMs + " killed " + owner.id + " with " + job.plan.jobId());
+        resubmitLater(job);
+      }
+    }
+  }
+
+  private void crashWorker(HostBox box) {
+    dark = random.nextBoolean();
+    box.worker.crash();
+    after(
+        500 + random.nextInt(3_000),
+        () -> {
+          box.worker = new StandInWorker(box.id + "-w" + nowMs, box.id + ":1");
+        });
+  }
+
+  /** A caller goes, and brings its job to another owner. */
+  private void leave(OwnerBox owner) {
+    for (CallersJob job : jobs.values()) {
+      if (job.state.equals("open") && owners.get(job.ownerIndex) == owner && !owner.stands()) {
+        owner.jobs.abandon(job.plan.jobId(), "left");
+        owner.settle();
+        return;
+      }
+    }
+  }
+
+  private void tickAll() {
+    for (OwnerBox owner : owners) {
+      if (!owner.stands() && nowMs - owner.lastTickMs >= 25) {
+        tick(owner);
+      }
+    }
+    for (HostBox box : boxes) {
+      if (!box.stands() && nowMs % 25 == 1) {
+        tick(box);
+      }
+    }
+  }
+
+  private void tick(OwnerBox owner) {
+    boolean stood = nowMs - owner.lastTickMs >= TIMING.ownerLeaseMs();
+    owner.lastTickMs = nowMs;
+    if (stood) {
+      owner.jobs.dropAll("stood still");
+      List.copyOf(owner.sessions.values()).forEach(session -> session.loseAtOwner(true));
+    }
+    for (Session session : List.copyOf(owner.sessions.values())) {
+      if (nowMs - session.heardByOwnerMs >= 4 * TIMING.ownerLeaseMs()
+          || (nowMs - session.heardByOwnerMs >= TIMING.ownerLeaseMs()
+              && session.lastToOwnerMs > 0)) {
+        session.loseAtOwner(true);
+      } else if (nowMs % BEAT_MS < 25) {
+        session.toHost(new OwnerBeat(nowMs));
+      }
+    }
+    owner.jobs.onTick(nowMs);
+    owner.settle();
+  }
+
+  private void tick(HostBox box) {
+    if (box.worker.up && nowMs % 500 == 1) {
+      box.host.workerSeen(box.worker.info(false, ++box.version, nowMs), nowMs);
+    }
+    for (OwnerBox owner : owners) {
+      boolean cut = cuts.getOrDefault(owner.id + box.id, 0L) > nowMs;
+      boolean linked =
+          box.sessions.values().stream().anyMatch(s -> s.owner == owner && s.openAtOwner);
+      if (!cut && !linked && !owner.stands()) {
+        connect(owner, box);
+      }
+    }
+    box.host.onTick(nowMs);
+    box.settle();
+  }
+
+  private void connect(OwnerBox owner, HostBox box) {
+    Session session = new Session(owner, box);
+    Session former = owner.sessions.get(box.id);
+    if (former != null) {
+      former.loseAtOwner(false);
+    }
+    owner.sessions.put(box.id, session);
+    box.sessions.put(session.id, session);
+    box.host.sessionBegan(session.id, owner.id, nowMs);
+  }
+
+  private void check() {
+    Map<String, String> running = new HashMap<>();
+    for (HostBox box : boxes) {
+      if (!Rooms.fits(box.worker.used(), StandInWorker.CAPACITY)) {
+        throw new AssertionError(nowMs + " " + box.id + " is over its room: " + box.worker.used());
+      }
+      for (RunRef run : box.worker.runs.keySet()) {
+        String other = running.put(run.task(), box.id + " run " + run.number());
+        if (other != null) {
+          throw new AssertionError(
+              nowMs
+                  + " "
+                  + run.task()
+                  + " runs twice: "
+                  + other
+                  + ", "
+                  + box.id
+                  + " run "
+                  + run.number()
+                  + "\n"
+                  + traceOf(run.task()));
+        }
+      }
+    }
+  }
+
+  private String traceOf(String task) {
+    return String.join(
+        "\n", trace.stream().filter(line -> line.contains(TaskNames.jobOf(task))).toList());
+  }
+
+  /** Returns the jobs that have no answer. */
+  List<String> openJobs() {
+    return jobs.values().stream()
+        .filter(job -> job.state.equals("open"))
+        .map(job -> job.plan.jobId())
+        .toList();
+  }
+
+  /** Returns what happened to the first job without an answer. */
+  String traceOfOpen() {
+    return openJobs().stream().findFirst().map(this::traceOf).orElse("");
+  }
+
+  Set<String> ends() {
+    return ends;
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/hingehoist/run/PlayedRunsTest.java
@@ -0,0 +1,30 @@
+package io.hingehoist.run;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Many orders of failures, each by its seed. */
+public final class PlayedRunsTest {
+  private static final int SEEDS = 60;
+  private static final long WITH_FAULTS_MS = 20_000;
+  private static final long CALM_MS = 25_000;
+
+  @Test
+  public void noTaskRunsTwiceAndEachJobIsAnswered() {
+    boolean completed = false;
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      PlayedRuns runs = new PlayedRuns(seed);
+      try {
+        runs.play(WITH_FAULTS_MS, CALM_MS);
+      } catch (AssertionError e) {
+        throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+      }
+      assertEquals(runs.openJobs(), List.of(), "seed " + seed + "\n" + runs.traceOfOpen());
+      completed |= runs.ends().contains("Completed");
+    }
+    assertTrue(completed);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
@@ -0,0 +1,282 @@
+package io.hingehoist.run;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.hingehoist.message.HostRows;
+import io.hingehoist.message.Message;
+import io.hingehoist.message.Room;
+import io.hingehoist.message.RunEnd;
+import io.hingehoist.message.RunEnded;
+import io.hingehoist.message.RunNotStarted;
+import io.hingehoist.message.RunRef;
+import io.hingehoist.message.RunRefusal;
+import io.hingehoist.message.SessionOpened;
+import io.hingehoist.message.StartRuns;
+import io.hingehoist.message.WorkerState;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.Test;
+
+public final class WorkerHostTest {
+  private static final RunTiming TIMING = RunTiming.of(1_300, 1_000, 50);
+  private static final long QUIET_MS = TIMING.workerOverAfterMs();
+  private static final Room CAPACITY = new Room(2_000, 1_000, 0);
+  private static final Room NEED = new Room(1_000, 10, 0);
+  private static final long SESSION = 7;
+
+  private final List<HostEffect> effects = new ArrayList<>();
+  private long order;
+
+  private static WorkerInfo worker(String id, boolean draining, long version) {
+    return new WorkerInfo(
+        id, "s", "10.0.0.1:1", "z", draining, CAPACITY, List.of(), version, 500_000);
+  }
+
+  private WorkerHost hostWithOwner(long nowMs) {
+    WorkerHost host = WorkerHost.create("h", 1, "z", TIMING, 100, nowMs - QUIET_MS);
+    host.workerSeen(worker("w1", false, 1), nowMs);
+    host.sessionBegan(SESSION, "o", nowMs);
+    settle(host, nowMs);
+    return host;
+  }
+
+  private void settle(WorkerHost host, long nowMs) {
+    host.showRows(nowMs);
+    effects.clear();
+    effects.addAll(host.takeEffects());
+  }
+
+  private void order(WorkerHost host, long nowMs, RunRef... runs) {
+    host.startRuns(
+        SESSION, new StartRuns(++order, "w1", "j", "spec", 100, NEED, List.of(runs)), nowMs);
+    settle(host, nowMs);
+  }
+
+  private <E extends HostEffect> List<E> all(Class<E> type) {
+    return effects.stream().filter(type::isInstance).map(type::cast).toList();
+  }
+
+  private <M extends Message> List<M> told(Class<M> type) {
+    return all(HostEffect.ToOwner.class).stream()
+        .map(HostEffect.ToOwner::message)
+        .filter(type::isInstance)
+        .map(type::cast)
+        .toList();
+  }
+
+  private static RunRef run(int index, long number) {
+    return new RunRef("j.0." + index, number);
+  }
+
+  private void list(WorkerHost host, long nowMs, List<RunRef> running, HoldAnswer.Ended... ended) {
+    host.holdAnswered("w1", new HoldAnswer.Listed(500_000 + nowMs, running, List.of(ended)), nowMs);
+    settle(host, nowMs);
+  }
+
+  @Test
+  public void neverOrdersMoreThanTheWorkerHasRoomFor() {
+    WorkerHost host = hostWithOwner(1_000);
+    order(host, 1_000, run(0, 1), run(1, 1), run(2, 1));
+    assertEquals(all(HostEffect.CallStart.class).size(), 2);
+    assertEquals(told(RunNotStarted.class), List.of(new RunNotStarted(run(2, 1), RunRefusal.ROOM)));
+  }
+
+  @Test
+  public void aStoppedRunKeepsItsRoomUntilItsEndIsListed() {
+    WorkerHost host = hostWithOwner(1_000);
+    order(host, 1_000, run(0, 1), run(1, 1));
+    host.startAnswered("w1", run(0, 1), new StartAnswer.Started(501_000), 1_002);
+    host.stopRun(SESSION, run(0, 1), 1_010);
+    host.stopAnswered("w1", run(0, 1), true, 1_012);
+    order(host, 1_013, run(3, 1));
+    assertEquals(told(RunNotStarted.class).size(), 1);
+    list(host, 1_060, List.of(), new HoldAnswer.Ended(1, run(0, 1), RunEnd.STOPPED));
+    order(host, 1_061, run(3, 2));
+    assertEquals(all(HostEffect.CallStart.class).size(), 1);
+  }
+
+  @Test
+  public void anUnansweredStartIsBarredByAStopBeforeItsRoomIsFree() {
+    WorkerHost host = hostWithOwner(1_000);
+    order(host, 1_000, run(0, 1));
+    host.startAnswered("w1", run(0, 1), new StartAnswer.Unanswered(), 1_150);
+    settle(host, 1_150);
+    assertEquals(all(HostEffect.CallStop.class).getFirst().run(), run(0, 1));
+    assertEquals(host.runCount(), 1);
+    host.stopAnswered("w1", run(0, 1), true, 1_152);
+    // This list was asked for before the stop was answered, and shows nothing.
+    list(host, 1_160, List.of());
+    assertEquals(host.runCount(), 1);
+    host.onTick(1_210);
+    list(host, 1_220, List.of());
+    list(host, 1_430, List.of());
+    assertEquals(host.runCount(), 0);
+  }
+
+  @Test
+  public void anUnansweredStopIsRepeated() {
+    WorkerHost host = hostWithOwner(1_000);
+    order(host, 1_000, run(0, 1));
+    host.startAnswered("w1", run(0, 1), new StartAnswer.Started(501_000), 1_002);
+    host.stopRun(SESSION, run(0, 1), 1_010);
+    settle(host, 1_010);
+    host.stopAnswered("w1", run(0, 1), false, 1_110);
+    host.onTick(1_115);
+    settle(host, 1_115);
+    assertEquals(all(HostEffect.CallStop.class).size(), 1);
+  }
+
+  @Test
+  public void stopsTheRunsOfASilentOwner() {
+    WorkerHost host = hostWithOwner(1_000);
+    host.ownerBeat(SESSION, 5_000, 1_000);
+    order(host, 1_000, run(0, 1));
+    host.startAnswered("w1", run(0, 1), new StartAnswer.Started(501_000), 1_002);
+    host.onTick(1_000 + TIMING.ownerLeaseMs() - 1);
+    settle(host, 1_649);
+    assertEquals(all(HostEffect.CallStop.class).size(), 0);
+    host.onTick(1_000 + TIMING.ownerLeaseMs());
+    settle(host, 1_650);
+    assertEquals(all(HostEffect.CallStop.class).size(), 1);
+    assertEquals(all(HostEffect.CloseSession.class).size(), 1);
+  }
+
+  @Test
+  public void aBeatThatWasHeldUpRenewsNothing() {
+    WorkerHost host = hostWithOwner(1_000);
+    host.ownerBeat(SESSION, 5_000, 1_000);
+    // Sent 100 ms after the first, it comes 600 ms after it.
+    host.ownerBeat(SESSION, 5_100, 1_600);
+    host.onTick(1_100 + TIMING.ownerLeaseMs());
+    settle(host, 1_750);
+    assertEquals(all(HostEffect.CloseSession.class).size(), 1);
+  }
+
+  @Test
+  public void startsNothingForAnOwnerWhoseLeaseIsOver() {
+    WorkerHost host = hostWithOwner(1_000);
+    order(host, 1_000 + TIMING.ownerLeaseMs(), run(0, 1));
+    assertEquals(all(HostEffect.CallStart.class), List.of());
+  }
+
+  @Test
+  public void aNewSessionOpensOnceTheRunsOfTheFormerAreOver() {
+    WorkerHost host = hostWithOwner(1_000);
+    order(host, 1_000, run(0, 1));
+    host.startAnswered("w1", run(0, 1), new StartAnswer.Started(501_000), 1_002);
+    host.sessionBegan(SESSION + 1, "o", 1_010);
+    settle(host, 1_010);
+    assertEquals(told(SessionOpened.class), List.of());
+    list(host, 1_060, List.of(), new HoldAnswer.Ended(1, run(0, 1), RunEnd.STOPPED));
+    host.onTick(1_075);
+    settle(host, 1_075);
+    assertEquals(told(SessionOpened.class).size(), 1);
+  }
+
+  @Test
+  public void aRestartedHostOpensNoSessionWhileItsLastLifesLeaseMayLast() {
+    WorkerHost host = WorkerHost.create("h", 2, "z", TIMING, 100, 1_000);
+    host.sessionBegan(SESSION, "o", 1_010);
+    host.ownerBeat(SESSION, 10, 1_010);
+    host.ownerBeat(SESSION, 500, 1_500);
+    host.onTick(1_000 + QUIET_MS - 1);
+    settle(host, 1_000 + QUIET_MS - 1);
+    assertEquals(told(SessionOpened.class), List.of());
+    host.onTick(1_000 + QUIET_MS);
+    settle(host, 1_000 + QUIET_MS);
+    assertEquals(told(SessionOpened.class).size(), 1);
+  }
+
+  @Test
+  public void runsOfASilentWorkerAreLostOnceItsLeaseIsOver() {
+    WorkerHost host = hostWithOwner(1_000);
+    order(host, 1_000, run(0, 1));
+    host.startAnswered("w1", run(0, 1), new StartAnswer.Started(501_000), 1_002);
+    host.holdAnswered("w1", new HoldAnswer.Unanswered(), 1_400);
+    host.ownerBeat(SESSION, 9_000, 1_400);
+    settle(host, 1_400);
+    host.onTick(1_000 + QUIET_MS - 1);
+    settle(host, 1_000 + QUIET_MS - 1);
+    assertEquals(told(RunEnded.class), List.of());
+    host.onTick(1_000 + QUIET_MS);
+    settle(host, 1_000 + QUIET_MS);
+    assertEquals(told(RunEnded.class), List.of(new RunEnded(run(0, 1), RunEnd.LOST, 0)));
+  }
+
+  @Test
+  public void aSilentWorkersLeaseIsNotRenewed() {
+    WorkerHost host = hostWithOwner(1_000);
+    order(host, 1_000, run(0, 1));
+    host.holdAnswered("w1", new HoldAnswer.Unanswered(), 1_400);
+    host.onTick(1_500);
+    settle(host, 1_500);
+    assertEquals(all(HostEffect.CallHold.class).getFirst().deadlineMs(), 0);
+  }
+
+  @Test
+  public void anotherLifeAtTheSameAddressEndsTheRunsOfTheLast() {
+    WorkerHost host = hostWithOwner(1_000);
+    order(host, 1_000, run(0, 1));
+    host.workerSeen(worker("w2", false, 1), 1_100);
+    settle(host, 1_100);
+    assertEquals(told(RunEnded.class).getFirst().end(), RunEnd.LOST);
+    assertEquals(host.workerCount(), 1);
+  }
+
+  @Test
+  public void aDrainingWorkerGetsNothingNew() {
+    WorkerHost host = hostWithOwner(1_000);
+    host.workerSeen(worker("w1", true, 2), 1_010);
+    settle(host, 1_010);
+    assertEquals(
+        told(HostRows.class).getFirst().workers().getFirst().state(), WorkerState.DRAINING);
+    // An older account that overtook the newer one changes nothing.
+    host.workerSeen(worker("w1", false, 1), 1_020);
+    order(host, 1_030, run(0, 1));
+    assertEquals(told(RunNotStarted.class).getFirst().reason(), RunRefusal.NOT_READY);
+  }
+
+  @Test
+  public void aHigherTokenFollowsARefusalForItsToken() {
+    WorkerHost host = hostWithOwner(1_000);
+    order(host, 1_000, run(0, 1));
+    long before = all(HostEffect.CallStart.class).getFirst().token();
+    host.startAnswered("w1", run(0, 1), new StartAnswer.Fenced(501_000), 1_002);
+    settle(host, 1_002);
+    assertTrue(all(HostEffect.CallStart.class).getFirst().token() > before);
+  }
+
+  @Test
+  public void stopsARunThatItDoesNotKnow() {
+    WorkerHost host = hostWithOwner(1_000);
+    list(host, 1_010, List.of(run(9, 3)));
+    assertEquals(all(HostEffect.CallStop.class).getFirst().run(), run(9, 3));
+  }
+
+  @Test
+  public void aWorkerThatFailsEverythingIsShownAsFailing() {
+    WorkerHost host = hostWithOwner(1_000);
+    list(
+        host,
+        1_010,
+        List.of(),
+        new HoldAnswer.Ended(1, run(0, 1), RunEnd.FAILED),
+        new HoldAnswer.Ended(2, run(1, 1), RunEnd.FAILED),
+        new HoldAnswer.Ended(3, run(2, 1), RunEnd.FAILED));
+    assertEquals(told(HostRows.class).getFirst().workers().getFirst().state(), WorkerState.FAILING);
+  }
+
+  @Test
+  public void aPlannedStopTakesNothingNewAndWaitsForTheRest() {
+    WorkerHost host = hostWithOwner(1_000);
+    order(host, 1_000, run(0, 1));
+    host.stopTaking();
+    order(host, 1_010, run(1, 1));
+    assertEquals(told(RunNotStarted.class).getFirst().reason(), RunRefusal.NOT_READY);
+    assertFalse(host.isIdle());
+    list(host, 1_100, List.of(), new HoldAnswer.Ended(1, run(0, 1), RunEnd.DONE));
+    assertTrue(host.isIdle());
+  }
+}
--- a/daemon/src/main/java/io/hingehoist/log/DecisionLog.java
+++ b/daemon/src/main/java/io/hingehoist/log/DecisionLog.java
@@ -89,14 +89,20 @@
   }
 
   private void writeLines() {
-    while (!closed) {
-      LockSupport.parkNanos(WRITE_PERIOD_NANOS);
-      flush();
+    try {
+      while (!closed) {
+        String first = waiting.take();
+        LockSupport.parkNanos(WRITE_PERIOD_NANOS);
+        flush(first);
+      }
+    } catch (InterruptedException e) {
+      // Closed by close(), which writes what is left.
     }
   }
 
-  private synchronized void flush() {
+  private synchronized void flush(String first) {
     List<String> lines = new ArrayList<>();
+    lines.add(first);
     waiting.drainTo(lines);
     long drops = dropped.get();
     if (drops > reportedDrops) {
@@ -104,17 +110,16 @@
           toLine(new Decision("linesDropped", "", "", "", "count=" + (drops - reportedDrops))));
       reportedDrops = drops;
     }
-    if (!lines.isEmpty()) {
-      byte[] bytes = String.join("", lines).getBytes(StandardCharsets.UTF_8);
-      out.write(bytes, 0, bytes.length);
-      out.flush();
-    }
+    byte[] bytes = String.join("", lines).getBytes(StandardCharsets.UTF_8);
+    out.write(bytes, 0, bytes.length);
+    out.flush();
   }
 
   /** Writes what waits and ends. */
   @Override
   public void close() {
     closed = true;
-    flush();
+    writer.interrupt();
+    flush("");
   }
 }
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -77,7 +77,7 @@
   private static final Logger LOG = Logger.getLogger(ControlNode.class);
   private static final int MAX_BATCH = 1_000;
   private static final int MAX_QUEUED_FRAMES = 32_768;
-  private static final long TICK_MS = 10;
+  private static final long TICK_MS = 20;
   private static final long CLOCK_PERIOD_MS = 5_000;
   private static final long REPROPOSE_MS = 1_000;
   private static final long MAX_SEGMENT_BYTES = 64L * 1024 * 1024;
--- a/daemon/src/main/java/io/hingehoist/wire/FrameLink.java
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameLink.java
@@ -14,6 +14,7 @@
 public final class FrameLink implements AutoCloseable {
   private static final int CONNECT_TIMEOUT_MS = 400;
   private static final long RETRY_PAUSE_MS = 100;
+  private static final long CHECK_PAUSE_MS = 1_000;
 
   private final String address;
   private final String ownAddress;
@@ -72,10 +73,12 @@
   private void keepConnected() {
     while (!closed) {
       FrameConnection connection = current.get();
-      if (connection == null || !connection.isOpen()) {
+      boolean open = connection != null && connection.isOpen();
+      if (!open) {
         connect();
       }
-      LockSupport.parkNanos(RETRY_PAUSE_MS * 1_000_000);
+      // A connection that breaks wakes this thread.
+      LockSupport.parkNanos((open ? CHECK_PAUSE_MS : RETRY_PAUSE_MS) * 1_000_000);
     }
   }
 
