--- a/daemon/src/main/java/io/hingehoist/net/HttpConnection.java
+++ b/daemon/src/main/java/io/hingehoist/net/HttpConnection.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -159,8 +158,7 @@
   private void brokenOff(ChannelHandlerContext context) {
     open = Optional.empty();
     server.callOver();
-    context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-    context.close();
+    Resets.reset(context.channel());
   }
 
   private void write(ChannelHandlerContext context, HttpAnswer answer, boolean keepAlive) {
--- a/daemon/src/main/java/io/hingehoist/net/PeerChannel.java
+++ b/daemon/src/main/java/io/hingehoist/net/PeerChannel.java
@@ -91,9 +91,7 @@
 
   /** Closes the connection; what is not sent yet is dropped, and what comes late is not read. */
   public void close() {
-    // A reset, so that nothing that a cut holds up is delivered afterwards.
-    channel.config().setOption(ChannelOption.SO_LINGER, 0);
-    channel.close();
+    Resets.reset(channel);
   }
 
   private final class Receiver extends ChannelInboundHandlerAdapter {
