--- /dev/null
+++ b/cli/src/main/java/io/hingehoist/cli/JobStory.java
@@ -0,0 +1,119 @@
+package io.hingehoist.cli;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+
+/**
+ * What the logs of all processes say of one job, in order of time: each line that names the job,
+ * and each change of a host, worker or owner that such a line names.
+ */
+final class JobStory {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  /** Events that tell of a process and not of a job. */
+  private static final Set<String> SURROUNDINGS =
+      Set.of(
+          "hostFound",
+          "hostLost",
+          "workerFound",
+          "workerGone",
+          "workerSilent",
+          "workerAnswers",
+          "workerFailing",
+          "workerDraining",
+          "workerLeaves",
+          "stoodStill",
+          "stopping",
+          "started",
+          "configurationInForce");
+
+  private final List<JsonNode> lines;
+
+  private JobStory(List<JsonNode> lines) {
+    this.lines = lines;
+  }
+
+  /**
+   * Returns the story of a job.
+   *
+   * @param log the lines of logs; what stands before the first brace of a line is passed over
+   */
+  static JobStory of(String jobId, Stream<String> log) {
+    List<JsonNode> all = log.map(JobStory::parse).flatMap(Optional::stream).toList();
+    List<JsonNode> own = new ArrayList<>();
+    Set<String> names = new HashSet<>();
+    for (JsonNode line : all) {
+      if (line.path("job").asText().equals(jobId)) {
+        own.add(line);
+        names.add(line.path("where").asText());
+        names.add(line.path("node").asText());
+      }
+    }
+    if (own.isEmpty()) {
+      return new JobStory(List.of());
+    }
+    long fromMs = atMs(own.stream().min(Comparator.comparingLong(JobStory::atMs)).orElseThrow());
+    long toMs = atMs(own.stream().max(Comparator.comparingLong(JobStory::atMs)).orElseThrow());
+    List<JsonNode> story = new ArrayList<>(own);
+    for (JsonNode line : all) {
+      boolean near = atMs(line) >= fromMs && atMs(line) <= toMs;
+      boolean known =
+          names.contains(line.path("where").asText()) || names.contains(line.path("node").asText());
+      if (near && known && SURROUNDINGS.contains(line.path("event").asText())) {
+        story.add(line);
+      }
+    }
+    story.sort(Comparator.comparingLong(JobStory::atMs));
+    return new JobStory(story);
+  }
+
+  private static long atMs(JsonNode line) {
+    return line.path("atMs").asLong();
+  }
+
+  private static Optional<JsonNode> parse(String line) {
+    int brace = line.indexOf('{');
+    if (brace < 0) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.ofNullable(MAPPER.readTree(line.substring(brace)));
+    } catch (JsonProcessingException e) {
+      return Optional.empty();
+    }
+  }
+
+  boolean isEmpty() {
+    return lines.isEmpty();
+  }
+
+  ArrayNode toJson() {
+    return MAPPER.createArrayNode().addAll(lines);
+  }
+
+  /** Returns a line an event, with times from the first one on. */
+  String toText() {
+    StringBuilder text = new StringBuilder();
+    for (JsonNode line : lines) {
+      text.append(
+          "%8d ms  %-18s %-18s %-30s %-22s %s%n"
+              .formatted(
+                  atMs(line) - atMs(lines.getFirst()),
+                  line.path("node").asText(),
+                  line.path("event").asText(),
+                  line.path("task").asText(),
+                  line.path("where").asText(),
+                  line.path("outcome").asText()));
+    }
+    return text.toString();
+  }
+}
--- a/cli/src/main/java/io/hingehoist/cli/Main.java
+++ b/cli/src/main/java/io/hingehoist/cli/Main.java
@@ -95,6 +95,7 @@
     parser.addCommand("members", new MemberActions.Members());
     parser.addCommand("drain", new MemberActions.Drain());
     parser.addCommand("undrain", new MemberActions.Undrain());
+    parser.addCommand("explain", new ExplainAction());
     parser.addCommand("audit", new ReportActions.Audit());
     parser.addCommand("status", new ReportActions.Status());
     return parser;
--- a/core/src/main/java/io/hingehoist/run/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/JobOwner.java
@@ -214,6 +214,7 @@
     if (task == null) {
       return;
     }
+    view(task).ifPresent(worker -> worker.noteEnd(task.plan().need()));
     switch (report.end()) {
       case DONE -> done(task, report.ranMs(), nowMs);
       case FAILED -> failed(task);
--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -32,7 +32,7 @@
   private static final long SILENT_RETRY_MS = 100;
   private static final long QUICK_HOLD_MS = 2;
   private static final long STOP_RETRY_MS = 50;
-  private static final long SHOW_PAUSE_MS = 15;
+  private static final long SHOW_PAUSE_MS = 60;
 
   /** A worker with less than this part of its room free is nearly full. */
   private static final long TIGHT_DIVISOR = 4;
@@ -207,10 +207,15 @@
   /** Starts the runs of an order, as far as they may start. */
   public void startRuns(long sessionId, StartRuns order, long nowMs) {
     OwnerSession session = sessions.get(sessionId);
-    if (session == null || !session.open || session.lease.isOver(nowMs)) {
+    if (session == null || !session.open) {
       return;
     }
     session.lastOrder = Math.max(session.lastOrder, order.order());
+    if (session.lease.isOver(nowMs)) {
+      // A beat that is on its way may yet renew the lease, so the owner must hear of each run.
+      order.runs().forEach(run -> refuse(sessionId, run, order.workerId(), RunRefusal.NOT_READY));
+      return;
+    }
     for (RunRef run : order.runs()) {
       start(session, order, run, nowMs);
     }
@@ -257,14 +262,16 @@
             life.id(), life.info().address(), run.run, run.spec, life.grantLease(nowMs), token));
   }
 
-  /** Stops a run on its owner's word. */
+  /** Stops a run on its owner's word. One that is not here is over. */
   public void stopRun(long sessionId, RunRef run, long nowMs) {
     for (WorkerLife life : lives.values()) {
       Optional<HostedRun> found = life.find(run);
       if (found.isPresent() && found.get().sessionId == sessionId) {
         stop(life, found.get(), nowMs);
+        return;
       }
     }
+    send(sessionId, new RunEnded(run, RunEnd.LOST, 0));
   }
 
   private void stop(WorkerLife life, HostedRun run, long nowMs) {
--- a/core/src/main/java/io/hingehoist/run/WorkerView.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerView.java
@@ -17,6 +17,10 @@
   private final List<Unseen> unseen = new ArrayList<>();
   private WorkerRow row;
   private Room unseenNeed = Rooms.none();
+
+  /** Room of this owner's runs that ended after the row was written. */
+  private Room freed = Rooms.none();
+
   private long avoidedUntilMs;
 
   WorkerView(String hostId, WorkerRow row) {
@@ -30,6 +34,7 @@
 
   void update(WorkerRow newRow, long lastOrder) {
     row = newRow;
+    freed = Rooms.none();
     unseen.removeIf(
         order -> {
           boolean seen = order.order() <= lastOrder;
@@ -45,12 +50,16 @@
     unseenNeed = Rooms.plus(unseenNeed, need);
   }
 
+  void noteEnd(Room need) {
+    freed = Rooms.plus(freed, need);
+  }
+
   void avoidUntil(long untilMs) {
     avoidedUntilMs = Math.max(avoidedUntilMs, untilMs);
   }
 
   Room free() {
-    return Rooms.minus(row.free(), unseenNeed);
+    return Rooms.minus(Rooms.plus(row.free(), freed), unseenNeed);
   }
 
   boolean takesRuns(long nowMs) {
--- a/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
+++ b/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
@@ -128,6 +128,14 @@
     assertEquals(all(HostEffect.CallStop.class).size(), 1);
   }
 
+  @Test
+  public void aStopOfARunThatIsNotHereSaysThatItIsOver() {
+    WorkerHost host = hostWithOwner(1_000);
+    host.stopRun(SESSION, run(0, 1), 1_010);
+    settle(host, 1_010);
+    assertEquals(told(RunEnded.class), List.of(new RunEnded(run(0, 1), RunEnd.LOST, 0)));
+  }
+
   @Test
   public void stopsTheRunsOfASilentOwner() {
     WorkerHost host = hostWithOwner(1_000);
@@ -159,6 +167,8 @@
     WorkerHost host = hostWithOwner(1_000);
     order(host, 1_000 + TIMING.ownerLeaseMs(), run(0, 1));
     assertEquals(all(HostEffect.CallStart.class), List.of());
+    // The owner hears of it: a beat may renew the lease before the session is closed.
+    assertEquals(told(RunNotStarted.class).getFirst().reason(), RunRefusal.NOT_READY);
   }
 
   @Test
--- a/daemon/src/main/java/io/hingehoist/entry/BodyLimitFilter.java
+++ b/daemon/src/main/java/io/hingehoist/entry/BodyLimitFilter.java
@@ -10,9 +10,15 @@
 import java.io.IOException;
 import java.io.InputStream;
 
-/** Refuses bodies that are too large, whether or not they say so. Thread-safe. */
+/**
+ * Refuses bodies that are too large, whether or not they say so. What is refused is read to its end
+ * first: a caller that is still sending when the connection closes does not see the answer.
+ * Thread-safe.
+ */
 @PreMatching
 final class BodyLimitFilter implements ContainerRequestFilter {
+  private static final long MAX_DRAINED_BYTES = 64L * 1024 * 1024;
+
   private final long maxBytes;
 
   BodyLimitFilter(long maxBytes) {
@@ -20,13 +26,26 @@
   }
 
   @Override
-  public void filter(ContainerRequestContext context) {
+  public void filter(ContainerRequestContext context) throws IOException {
     if (context.getLength() > maxBytes) {
+      drain(context.getEntityStream());
       throw tooLarge();
     }
     context.setEntityStream(new LimitedStream(context.getEntityStream()));
   }
 
+  private static void drain(InputStream body) throws IOException {
+    long left = MAX_DRAINED_BYTES;
+    while (left > 0) {
+      long skipped = body.skip(left);
+      // A stream may skip nothing before its end; a read tells.
+      if (skipped == 0 && body.read() < 0) {
+        return;
+      }
+      left -= Math.max(1, skipped);
+    }
+  }
+
   private WebApplicationException tooLarge() {
     AnswerBody body =
         AnswerBody.refused("INVALID", "body: allowed: at most " + maxBytes + " bytes", null);
@@ -58,9 +77,10 @@
       return count;
     }
 
-    private void count(int bytes) {
+    private void count(int bytes) throws IOException {
       left -= bytes;
       if (left < 0) {
+        drain(in);
         throw tooLarge();
       }
     }
--- a/daemon/src/main/java/io/hingehoist/host/HostNode.java
+++ b/daemon/src/main/java/io/hingehoist/host/HostNode.java
@@ -34,7 +34,7 @@
 /** A host: one event loop that owns the {@link WorkerHost} and carries all connections. */
 public final class HostNode implements WorkerRegistry, AutoCloseable {
   private static final int MAX_BODY_BYTES = 64 * 1024;
-  private static final long TICK_MS = 25;
+  private static final long TICK_MS = 50;
 
   /** What is left of the time of a planned stop when the process ends in any case. */
   private static final long STOP_MARGIN_MS = 300;
--- a/daemon/src/main/java/io/hingehoist/log/DecisionLog.java
+++ b/daemon/src/main/java/io/hingehoist/log/DecisionLog.java
@@ -17,7 +17,7 @@
  */
 public final class DecisionLog implements AutoCloseable {
   private static final int MAX_WAITING = 8_192;
-  private static final long WRITE_PERIOD_NANOS = 50_000_000;
+  private static final long WRITE_PERIOD_NANOS = 200_000_000;
 
   private final String node;
   private final PrintStream out;
--- a/daemon/src/main/java/io/hingehoist/net/ControlLinks.java
+++ b/daemon/src/main/java/io/hingehoist/net/ControlLinks.java
@@ -29,7 +29,7 @@
  * loop.
  */
 public final class ControlLinks implements AutoCloseable {
-  private static final long ANNOUNCE_MS = 400;
+  private static final long ANNOUNCE_MS = 500;
   private static final long KEPT_MS = 600_000;
   private static final long READ_TIMEOUT_MS = 400;
 
--- a/daemon/src/main/java/io/hingehoist/net/PeerLink.java
+++ b/daemon/src/main/java/io/hingehoist/net/PeerLink.java
@@ -20,7 +20,7 @@
 public final class PeerLink implements AutoCloseable {
   private static final int CONNECT_TIMEOUT_MS = 400;
   private static final long RETRY_PAUSE_MS = 100;
-  private static final long SILENT_MS = 1_000;
+  private static final long SILENT_MS = 1_300;
 
   private final EventLoop loop;
   private final String address;
--- a/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
+++ b/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
@@ -26,7 +26,7 @@
  * known at the host's address, as the host may not have heard of it. Owned by the event loop.
  */
 final class HostSessions implements AutoCloseable {
-  private static final long BEAT_MS = 150;
+  private static final long BEAT_MS = 180;
   private static final long KNOCK_PAUSE_MS = 600;
   private static final long KNOCK_OPEN_MS = 300;
 
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -48,7 +48,7 @@
 
   private static final int MAX_BODY_BYTES = 1 << 20;
   private static final int MAX_READY_BODY_BYTES = 4_096;
-  private static final long TICK_MS = 25;
+  private static final long TICK_MS = 50;
 
   /** A planned stop answers new jobs for so long; then the platform has turned to other boxes. */
   private static final long STOP_TAKING_AFTER_MS = 2_500;
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -77,7 +77,7 @@
   private static final Logger LOG = Logger.getLogger(ControlNode.class);
   private static final int MAX_BATCH = 1_000;
   private static final int MAX_QUEUED_FRAMES = 32_768;
-  private static final long TICK_MS = 20;
+  private static final long TICK_MS = 30;
   private static final long CLOCK_PERIOD_MS = 5_000;
   private static final long REPROPOSE_MS = 1_000;
   private static final long MAX_SEGMENT_BYTES = 64L * 1024 * 1024;
@@ -425,9 +425,8 @@
             announce -> {
               links.sendToAll(announce);
               links.renewSilent(now);
-              List<String> addresses = discovery.controlAddresses();
-              addresses.forEach(address -> links.open(address, now));
-              replica.knowAddresses(addresses);
+              discovery.controlAddresses().forEach(address -> links.open(address, now));
+              replica.knowAddresses(links.addresses());
             });
   }
 
--- a/daemon/src/main/java/io/hingehoist/quorum/Discovery.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/Discovery.java
@@ -19,7 +19,7 @@
  * by the control thread.
  */
 final class Discovery {
-  private static final long ANNOUNCE_MS = 400;
+  private static final long ANNOUNCE_MS = 500;
   private static final long KEPT_MS = 60_000;
   private static final int MAX_PASSED_ON = 4_096;
 
--- a/daemon/src/main/java/io/hingehoist/quorum/ReplicaLinks.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ReplicaLinks.java
@@ -6,6 +6,7 @@
 import io.hingehoist.wire.FrameHandler;
 import io.hingehoist.wire.FrameLink;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadFactory;
 
@@ -16,7 +17,7 @@
  */
 final class ReplicaLinks implements AutoCloseable {
   private static final int MAX_QUEUED_FRAMES = 32_768;
-  private static final long SILENT_MS = 1_000;
+  private static final long SILENT_MS = 1_300;
   private static final long FORGET_MS = 120_000;
 
   private static final class Link {
@@ -62,6 +63,10 @@
     return FrameLink.open(address, ownAddress, hello, handler, metrics, threads, MAX_QUEUED_FRAMES);
   }
 
+  List<String> addresses() {
+    return List.copyOf(links.keySet());
+  }
+
   void send(String address, Message message, long nowMs) {
     open(address, nowMs);
     Link link = links.get(address);
--- a/daemon/src/test/java/io/hingehoist/net/ResetsTest.java
+++ b/daemon/src/test/java/io/hingehoist/net/ResetsTest.java
@@ -1,19 +1,33 @@
 package io.hingehoist.net;
 
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
 
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.testng.annotations.Test;
 
 public final class ResetsTest {
 
   @Test
   public void aConnectionThatIsClosedBelowCanBeReset() throws Exception {
-    SocketChannel below = SocketChannel.open();
-    NioSocketChannel channel = new NioSocketChannel(null, below);
-    below.close();
-    Resets.reset(channel);
-    assertFalse(channel.isActive());
+    AtomicReference<Throwable> failure = new AtomicReference<>();
+    try (EventLoop loop = EventLoop.start(failure::set)) {
+      SocketChannel below = SocketChannel.open();
+      NioSocketChannel channel = new NioSocketChannel(null, below);
+      loop.group().register(channel).sync();
+      below.close();
+      CompletableFuture<Boolean> done = new CompletableFuture<>();
+      loop.execute(
+          () -> {
+            Resets.reset(channel);
+            done.complete(channel.isActive());
+          });
+      assertFalse(done.get(10, TimeUnit.SECONDS));
+      assertNull(failure.get());
+    }
   }
 }
