--- a/cli/src/main/java/io/hingehoist/cli/Action.java
+++ b/cli/src/main/java/io/hingehoist/cli/Action.java
@@ -14,6 +14,7 @@
         MemberActions.Members,
         MemberActions.Drain,
         MemberActions.Undrain,
+        ExplainAction,
         ReportActions.Audit,
         ReportActions.Status {
 
--- a/core/src/main/java/io/hingehoist/run/FailureWatch.java
+++ b/core/src/main/java/io/hingehoist/run/FailureWatch.java
@@ -33,4 +33,12 @@
   boolean isFailing(long nowMs) {
     return nowMs < untilMs;
   }
+
+  /**
+   * Returns whether the last runs failed, so that a few are enough to see whether the worker is
+   * well.
+   */
+  boolean isOnTrial() {
+    return inARow >= ROW_OF_FAILURES;
+  }
 }
--- a/core/src/main/java/io/hingehoist/run/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/JobOwner.java
@@ -8,13 +8,11 @@
 import io.hingehoist.message.RunRefusal;
 import io.hingehoist.message.StopRun;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeSet;
 
 /**
  * The decisions of an owner: which run of which task is ordered at which worker, when a lost one
@@ -33,17 +31,14 @@
 
   private static final long AVOID_MS = 1_000;
   private static final long RETRY_AFTER_MS = 1_000;
-  private static final int MAX_MISSES_IN_A_PASS = 64;
 
   /** A run is moved when it takes this many times as long as expected, on a slow worker. */
   private static final double STRAGGLER_FACTOR = 2.5;
 
   private static final long STRAGGLER_MIN_MS = 100;
 
-  private static final Comparator<OwnedTask> ORDER =
-      Comparator.<OwnedTask>comparingInt(task -> task.job.plan.priority())
-          .thenComparingLong(task -> task.job.number)
-          .thenComparing(task -> task.name);
+  /** A job is given up after so many times the time at which its answer is worth nothing. */
+  private static final double GIVE_UP_FACTOR = 1.5;
 
   private final RunTiming timing;
   private final SpeedTable speeds = new SpeedTable();
@@ -51,7 +46,7 @@
   private final Map<String, HostView> hosts = new LinkedHashMap<>();
   private final Map<String, OwnedJob> jobs = new LinkedHashMap<>();
   private final Map<String, OwnedTask> active = new HashMap<>();
-  private final TreeSet<OwnedTask> queue = new TreeSet<>(ORDER);
+  private final WaitingTasks waiting = new WaitingTasks();
   private final List<OwnerEffect> effects = new ArrayList<>();
   private long jobNumber;
 
@@ -80,7 +75,7 @@
     }
     OwnedJob job = new OwnedJob(plan, nowMs, ++jobNumber);
     jobs.put(plan.jobId(), job);
-    queue.addAll(job.takeFreed());
+    waiting.addAll(job.takeFreed());
     note("jobTaken", plan.jobId(), "", plan.queue(), "priority=" + plan.priority());
     return true;
   }
@@ -127,7 +122,7 @@
 
   /** Returns the number of tasks that wait for room. */
   public int queuedCount() {
-    return queue.size();
+    return waiting.size();
   }
 
   /** Returns the number of runs that are ordered and not known to be over. */
@@ -189,6 +184,7 @@
       return;
     }
     task.job.possibleStarts--;
+    view(task).ifPresent(WorkerView::noteOver);
     switch (report.reason()) {
       case ROOM, NOT_READY -> {}
       case OLD_NUMBER -> task.runNumber += NUMBER_STEP;
@@ -237,7 +233,7 @@
     if (job.isComplete()) {
       end(job, new JobEnd.Completed());
     } else {
-      queue.addAll(job.takeFreed());
+      waiting.addAll(job.takeFreed());
     }
   }
 
@@ -262,7 +258,7 @@
     active.remove(task.name);
     task.state = OwnedTask.State.QUEUED;
     task.stopSent = false;
-    queue.add(task);
+    waiting.add(task);
     if (!reason.isEmpty()) {
       note("runAgain", task.job.plan.jobId(), task.name, task.workerId, "reason=" + reason);
     }
@@ -272,7 +268,7 @@
     jobs.remove(job.plan.jobId());
     for (List<OwnedTask> step : job.steps) {
       for (OwnedTask task : step) {
-        queue.remove(task);
+        waiting.remove(task);
         if (task.state == OwnedTask.State.ORDERED && active.remove(task.name) != null) {
           stop(task);
         }
@@ -301,10 +297,17 @@
       }
     }
     for (OwnedJob job : List.copyOf(jobs.values())) {
-      boolean worthless = nowMs - job.takenAtMs >= job.plan.worthlessAfterMs();
-      if (worthless && !job.mayHaveStarted()) {
-        end(job, new JobEnd.Refused("no room in time", RETRY_AFTER_MS));
-      }
+      checkWorth(job, nowMs);
+    }
+    waiting.putLateBehind(task -> speeds.expectedMs(task.plan().estimateMs()), nowMs);
+  }
+
+  private void checkWorth(OwnedJob job, long nowMs) {
+    long ageMs = nowMs - job.takenAtMs;
+    if (ageMs >= job.plan.worthlessAfterMs() && !job.mayHaveStarted()) {
+      end(job, new JobEnd.Refused("no room in time", RETRY_AFTER_MS));
+    } else if (ageMs >= GIVE_UP_FACTOR * job.plan.worthlessAfterMs()) {
+      end(job, new JobEnd.Failed("too late"));
     }
   }
 
@@ -325,23 +328,17 @@
 
   /** Orders runs for the tasks that wait, best priority first, as far as there is room. */
   public void place(long nowMs) {
-    List<OwnedTask> placed = new ArrayList<>();
     OrderBatch batch = new OrderBatch();
-    int misses = 0;
-    for (OwnedTask task : queue) {
-      Optional<WorkerView> worker = choice.choose(task, hosts.values(), nowMs);
-      if (worker.isPresent()) {
-        order(task, worker.get(), batch, nowMs);
-        placed.add(task);
-      } else if (++misses >= MAX_MISSES_IN_A_PASS) {
-        break;
-      }
-    }
-    placed.forEach(queue::remove);
+    waiting.offer(task -> order(task, batch, nowMs));
     batch.emit((hostId, order) -> effects.add(new OwnerEffect.ToHost(hostId, order)));
   }
 
-  private void order(OwnedTask task, WorkerView worker, OrderBatch batch, long nowMs) {
+  private boolean order(OwnedTask task, OrderBatch batch, long nowMs) {
+    Optional<WorkerView> chosen = choice.choose(task, hosts.values(), nowMs);
+    if (chosen.isEmpty()) {
+      return false;
+    }
+    WorkerView worker = chosen.get();
     task.state = OwnedTask.State.ORDERED;
     task.runNumber++;
     task.hostId = worker.hostId;
@@ -352,6 +349,7 @@
     active.put(task.name, task);
     long order = batch.add(task, hosts.get(worker.hostId));
     worker.noteOrder(order, task.plan().need());
+    return true;
   }
 
   private void note(String event, String job, String task, String where, String outcome) {
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/run/WaitingTasks.java
@@ -0,0 +1,79 @@
+package io.hingehoist.run;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * The tasks that wait for room: by priority, and first come first served within one. Those of jobs
+ * whose answer will be late in any case go behind all that can be in time. Owned by {@link
+ * JobOwner}.
+ */
+final class WaitingTasks {
+  private static final int MAX_MISSES_IN_A_PASS = 64;
+
+  /** Of the expected time, what a task must have left to be in time: estimates are rough. */
+  private static final double LATE_MARGIN = 0.7;
+
+  private static final Comparator<OwnedTask> ORDER =
+      Comparator.<OwnedTask>comparingInt(task -> task.job.plan.priority())
+          .thenComparingLong(task -> task.job.number)
+          .thenComparing(task -> task.name);
+
+  private final TreeSet<OwnedTask> inTime = new TreeSet<>(ORDER);
+  private final TreeSet<OwnedTask> late = new TreeSet<>(ORDER);
+
+  void add(OwnedTask task) {
+    inTime.add(task);
+  }
+
+  void addAll(List<OwnedTask> tasks) {
+    inTime.addAll(tasks);
+  }
+
+  void remove(OwnedTask task) {
+    inTime.remove(task);
+    late.remove(task);
+  }
+
+  int size() {
+    return inTime.size() + late.size();
+  }
+
+  /**
+   * Puts tasks behind that can't be in time any more.
+   *
+   * @param expectedMs the time that a task is expected to run
+   */
+  void putLateBehind(ToDoubleFunction<OwnedTask> expectedMs, long nowMs) {
+    for (OwnedTask task : List.copyOf(inTime)) {
+      double earliestEndMs = nowMs + LATE_MARGIN * expectedMs.applyAsDouble(task);
+      if (earliestEndMs > task.job.takenAtMs + task.job.plan.objectiveMs()) {
+        inTime.remove(task);
+        late.add(task);
+      }
+    }
+  }
+
+  /** Offers tasks in their order, and removes those that are taken. */
+  void offer(Predicate<OwnedTask> taker) {
+    offer(inTime, taker);
+    offer(late, taker);
+  }
+
+  private static void offer(TreeSet<OwnedTask> waiting, Predicate<OwnedTask> taker) {
+    List<OwnedTask> taken = new ArrayList<>();
+    int misses = 0;
+    for (OwnedTask task : waiting) {
+      if (taker.test(task)) {
+        taken.add(task);
+      } else if (++misses >= MAX_MISSES_IN_A_PASS) {
+        break;
+      }
+    }
+    taken.forEach(waiting::remove);
+  }
+}
--- a/core/src/main/java/io/hingehoist/run/WorkerChoice.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerChoice.java
@@ -14,6 +14,7 @@
   /** A worker this many times slower than usual is left out. */
   static final double TOO_SLOW = 2.5;
 
+  private static final double SLOW_ON_TRIAL = 1.7;
   private static final double SLOWNESS_COST = 0.5;
   private static final double FAR_COST = 0.6;
   private static final double MAX_LEFT_OUT = 0.4;
@@ -72,7 +73,7 @@
     if (!step.requires().isEmpty() && !worker.row().labels().contains(step.requires())) {
       return false;
     }
-    if (leavesOut && isSlow(worker, nowMs)) {
+    if (leavesOut && (isSlow(worker, nowMs) || isBusyOnTrial(worker, nowMs))) {
       return false;
     }
     if (step.mostPerWorker() > 0
@@ -82,6 +83,12 @@
     return Rooms.fits(step.need(), worker.free());
   }
 
+  /** A worker that was slow a moment ago gets one run at a time of this owner until it is well. */
+  private boolean isBusyOnTrial(WorkerView worker, long nowMs) {
+    return worker.activeRuns() > 0
+        && speeds.slowness(worker.row().workerId(), nowMs) > SLOW_ON_TRIAL;
+  }
+
   private double score(WorkerView worker, OwnedTask task, long nowMs) {
     StepPlan step = task.plan();
     double score = Rooms.shareLeft(step.need(), worker.free(), worker.row().capacity());
--- a/core/src/main/java/io/hingehoist/run/WorkerLife.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerLife.java
@@ -16,6 +16,7 @@
  */
 final class WorkerLife {
   private static final double SLOWEST_CLOCK = 0.98;
+  private static final long TRIAL_DIVISOR = 5;
 
   final FailureWatch failures = new FailureWatch();
   private final RunTiming timing;
@@ -92,8 +93,15 @@
 
   // Runs and room.
 
+  /** Returns the room that may be given out: a part of it while the worker is on trial. */
   Room free() {
-    return Rooms.minus(info.capacity(), used);
+    Room capacity = info.capacity();
+    if (failures.isOnTrial()) {
+      capacity =
+          new Room(
+              capacity.cpuMilli() / TRIAL_DIVISOR, capacity.memoryMb(), capacity.accelerators());
+    }
+    return Rooms.minus(capacity, used);
   }
 
   void add(HostedRun run) {
--- a/core/src/main/java/io/hingehoist/run/WorkerView.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerView.java
@@ -22,6 +22,7 @@
   private Room freed = Rooms.none();
 
   private long avoidedUntilMs;
+  private int activeRuns;
 
   WorkerView(String hostId, WorkerRow row) {
     this.hostId = hostId;
@@ -45,12 +46,22 @@
         });
   }
 
+  int activeRuns() {
+    return activeRuns;
+  }
+
+  void noteOver() {
+    activeRuns--;
+  }
+
   void noteOrder(long order, Room need) {
+    activeRuns++;
     unseen.add(new Unseen(order, need));
     unseenNeed = Rooms.plus(unseenNeed, need);
   }
 
   void noteEnd(Room need) {
+    activeRuns--;
     freed = Rooms.plus(freed, need);
   }
 
--- a/daemon/src/main/java/io/hingehoist/adapter/JobIntake.java
+++ b/daemon/src/main/java/io/hingehoist/adapter/JobIntake.java
@@ -25,8 +25,8 @@
    */
   void readNewestRoutes(Consumer<Optional<RouteTable>> result);
 
-  /** Returns whether this box is about to end and takes no further jobs. */
-  boolean refusesJobs();
+  /** Returns whether this box is about to end, too soon for a job. */
+  boolean refuses(JobPlan plan);
 
   /** Takes a job, or joins the one of the same name that is here. */
   void submit(JobPlan plan, Waiter waiter);
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -50,8 +50,11 @@
   private static final int MAX_READY_BODY_BYTES = 4_096;
   private static final long TICK_MS = 50;
 
-  /** A planned stop answers new jobs for so long; then the platform has turned to other boxes. */
-  private static final long STOP_TAKING_AFTER_MS = 2_500;
+  /** A planned stop serves at least so long; then the platform has turned to other boxes. */
+  private static final long STOP_SERVING_MS = 2_500;
+
+  /** A stopping owner takes a job if this many times its objective is left. */
+  private static final double STOP_SPARE_FACTOR = 1.3;
 
   /** What is left of the time of a planned stop when the process ends in any case. */
   private static final long STOP_MARGIN_MS = 300;
@@ -178,7 +181,7 @@
   }
 
   private void checkStop(long now) {
-    boolean quiet = now - stopAtMs >= STOP_TAKING_AFTER_MS && front.openCalls() == 0;
+    boolean quiet = now - stopAtMs >= STOP_SERVING_MS && front.openCalls() == 0;
     boolean late = now - stopAtMs >= stopTimeoutMs() - STOP_MARGIN_MS;
     if (quiet || late) {
       settled.countDown();
@@ -264,8 +267,9 @@
   }
 
   @Override
-  public boolean refusesJobs() {
-    return isStopping() && EventLoop.nowMs() - stopAtMs >= STOP_TAKING_AFTER_MS;
+  public boolean refuses(JobPlan plan) {
+    long leftMs = stopAtMs + stopTimeoutMs() - STOP_MARGIN_MS - EventLoop.nowMs();
+    return isStopping() && leftMs < STOP_SPARE_FACTOR * plan.objectiveMs();
   }
 
   @Override
