Sessions open at once; the first election is early; a job is called failed only for its tasks' failures

Such a job now goes on behind the others; a cancelled one says so. A replica that has heard no leader yet asks for votes after a quarter of the time; a host opens sessions at once and says later when former runs are over; it gives out no room while a list shows runs that it did not order. After a start a replica brings the newest document only, not every version that it replays. Ruled out: start-up of the processes (0.4 to 0.6 s).

--- a/core/src/main/java/io/hingehoist/replication/Replica.java
+++ b/core/src/main/java/io/hingehoist/replication/Replica.java
@@ -34,6 +34,8 @@
   /** Entries kept after a snapshot, so that a replica a little behind needs no snapshot. */
   private static final long KEPT_ENTRIES = 1_000;
 
+  private static final long FIRST_ELECTION_DIVISOR = 4;
+
   private final String id;
   private final String address;
   private final int voterCount;
@@ -51,6 +53,7 @@
   private ReplicaRole role = ReplicaRole.FOLLOWER;
   private String leaderAddress = "";
   private long lastLeaderContactMs;
+  private boolean heardLeader;
   private long electionDeadlineMs;
   private Optional<Leadership> leadership = Optional.empty();
   private final Set<String> grantedVotes = new HashSet<>();
@@ -80,7 +83,7 @@
     this.log = new ReplicatedLog(durable.snapshot(), durable.entries());
     this.commitIndex = durable.snapshot().lastIndex();
     this.durableIndex = log.lastIndex();
-    this.lastLeaderContactMs = nowMs;
+    this.lastLeaderContactMs = nowMs - timing.electionTimeoutMs();
     resetElectionTimer(nowMs);
   }
 
@@ -226,6 +229,7 @@
 
   private void lead(long nowMs) {
     grantedVotes.clear();
+    heardLeader = true;
     Leadership leading = new Leadership(this, timing, log.lastIndex() + 1, nowMs);
     leadership = Optional.of(leading);
     changeRole(ReplicaRole.LEADER, address);
@@ -263,8 +267,11 @@
   }
 
   private void resetElectionTimer(long nowMs) {
+    // Before it has heard a leader, a replica that has just started need not wait for one to fall
+    // silent: where there is one, the others do not grant a pre-vote.
     long timeoutMs = timing.electionTimeoutMs();
-    electionDeadlineMs = nowMs + timeoutMs + random.nextLong(timeoutMs);
+    long waitMs = heardLeader ? timeoutMs : timeoutMs / FIRST_ELECTION_DIVISOR;
+    electionDeadlineMs = nowMs + waitMs + random.nextLong(waitMs);
   }
 
   // Messages.
@@ -364,6 +371,7 @@
    */
   private void askLeaderToJoin(String leader, long nowMs) {
     lastLeaderContactMs = nowMs;
+    heardLeader = true;
     resetElectionTimer(nowMs);
     effects.add(new ReplicaEffect.Send(leader, new JoinRequest(id, address, clusterId)));
   }
@@ -378,6 +386,7 @@
       effects.add(new ReplicaEffect.JoinCluster(leaderCluster));
     }
     lastLeaderContactMs = nowMs;
+    heardLeader = true;
     if (leaderTerm > term || role != ReplicaRole.FOLLOWER || !leaderAddress.equals(newLeader)) {
       becomeFollower(leaderTerm, newLeader, nowMs);
     }
--- a/core/src/main/java/io/hingehoist/run/HostView.java
+++ b/core/src/main/java/io/hingehoist/run/HostView.java
@@ -12,13 +12,11 @@
 /** One host as an owner sees it while a session with it is open. Owned by {@link JobOwner}. */
 final class HostView {
   final String hostId;
-  final long incarnation;
   private final Map<String, WorkerView> workers = new LinkedHashMap<>();
   private long lastOrder;
 
-  HostView(String hostId, long incarnation) {
+  HostView(String hostId) {
     this.hostId = hostId;
-    this.incarnation = incarnation;
   }
 
   long nextOrder() {
--- a/core/src/main/java/io/hingehoist/run/JobEnd.java
+++ b/core/src/main/java/io/hingehoist/run/JobEnd.java
@@ -9,6 +9,9 @@
   /** The job ran, and will not be completed. */
   record Failed(String reason) implements JobEnd {}
 
+  /** Its caller ended it. */
+  record Cancelled() implements JobEnd {}
+
   /** No task was started, and none will be; the caller may come back after a time. */
   record Refused(String reason, long retryAfterMs) implements JobEnd {}
 
--- a/core/src/main/java/io/hingehoist/run/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/JobOwner.java
@@ -37,9 +37,6 @@
 
   private static final long STRAGGLER_MIN_MS = 100;
 
-  /** A job is given up after so many times the time at which its answer is worth nothing. */
-  private static final double GIVE_UP_FACTOR = 1.5;
-
   private final RunTiming timing;
   private final SpeedTable speeds = new SpeedTable();
   private final WorkerChoice choice = new WorkerChoice(speeds);
@@ -94,7 +91,7 @@
     if (job == null) {
       return false;
     }
-    end(job, new JobEnd.Failed("cancelled"));
+    end(job, new JobEnd.Cancelled());
     return true;
   }
 
@@ -139,13 +136,22 @@
 
   // Hosts.
 
-  /** Notes an open session: no run that was ordered at the host before is going on. */
-  public void sessionOpened(String hostId, long incarnation) {
-    hosts.put(hostId, new HostView(hostId, incarnation));
-    note("hostFound", "", "", hostId, "incarnation=" + incarnation);
+  /**
+   * Notes an open session.
+   *
+   * @param formerRunsOver whether no run is going on that was ordered at the host before it
+   */
+  public void sessionOpened(String hostId, long incarnation, boolean formerRunsOver) {
+    if (!hosts.containsKey(hostId)) {
+      hosts.put(hostId, new HostView(hostId));
+      note("hostFound", "", "", hostId, "incarnation=" + incarnation);
+    }
+    if (!formerRunsOver) {
+      return;
+    }
     for (OwnedTask task : List.copyOf(active.values())) {
-      if (task.hostId.equals(hostId)) {
-        requeue(task, "sessionOpened");
+      if (task.hostId.equals(hostId) && task.state == OwnedTask.State.UNCERTAIN) {
+        requeue(task, "formerRunsOver");
       }
     }
   }
@@ -297,20 +303,14 @@
       }
     }
     for (OwnedJob job : List.copyOf(jobs.values())) {
-      checkWorth(job, nowMs);
+      boolean worthless = nowMs - job.takenAtMs >= job.plan.worthlessAfterMs();
+      if (worthless && !job.mayHaveStarted()) {
+        end(job, new JobEnd.Refused("no room in time", RETRY_AFTER_MS));
+      }
     }
     waiting.putLateBehind(task -> speeds.expectedMs(task.plan().estimateMs()), nowMs);
   }
 
-  private void checkWorth(OwnedJob job, long nowMs) {
-    long ageMs = nowMs - job.takenAtMs;
-    if (ageMs >= job.plan.worthlessAfterMs() && !job.mayHaveStarted()) {
-      end(job, new JobEnd.Refused("no room in time", RETRY_AFTER_MS));
-    } else if (ageMs >= GIVE_UP_FACTOR * job.plan.worthlessAfterMs()) {
-      end(job, new JobEnd.Failed("too late"));
-    }
-  }
-
   private void checkProgress(OwnedTask task, long nowMs) {
     long ranMs = nowMs - task.orderedAtMs;
     double expectedMs = speeds.expectedMs(task.plan().estimateMs());
--- a/core/src/main/java/io/hingehoist/run/OwnerSession.java
+++ b/core/src/main/java/io/hingehoist/run/OwnerSession.java
@@ -5,7 +5,7 @@
   final long id;
   final String ownerId;
   final LeaseClock lease;
-  boolean open;
+  boolean formerRunsOver;
   long lastOrder;
 
   OwnerSession(long id, String ownerId, LeaseClock lease) {
--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -138,9 +138,7 @@
 
   // Owners.
 
-  /**
-   * Notes a connection of an owner. It counts once every run of the owner's earlier ones is over.
-   */
+  /** Notes a connection of an owner, and tells it when every run of its earlier ones is over. */
   public void sessionBegan(long sessionId, String ownerId, long nowMs) {
     for (OwnerSession former : List.copyOf(sessions.values())) {
       if (former.ownerId.equals(ownerId)) {
@@ -149,24 +147,31 @@
       }
     }
     LeaseClock lease = new LeaseClock(timing.ownerLeaseMs(), nowMs);
-    sessions.put(sessionId, new OwnerSession(sessionId, ownerId, lease));
-    openSessions(nowMs);
+    OwnerSession session = new OwnerSession(sessionId, ownerId, lease);
+    sessions.put(sessionId, session);
+    note("ownerFound", "", ownerId, "session=" + sessionId);
+    session.formerRunsOver = isOverBefore(session, nowMs);
+    send(sessionId, opened(session));
+    send(sessionId, rowsFor(session, nowMs));
   }
 
-  private void openSessions(long nowMs) {
-    if (nowMs < quietAtMs) {
-      return;
-    }
+  private SessionOpened opened(OwnerSession session) {
+    return new SessionOpened(hostId, incarnation, zone, session.formerRunsOver);
+  }
+
+  private void tellOfFormerRuns(long nowMs) {
     for (OwnerSession session : sessions.values()) {
-      if (!session.open && !hasEarlierRuns(session)) {
-        session.open = true;
-        note("ownerFound", "", session.ownerId, "session=" + session.id);
-        send(session.id, new SessionOpened(hostId, incarnation, zone));
-        send(session.id, rowsFor(session, nowMs));
+      if (!session.formerRunsOver && isOverBefore(session, nowMs)) {
+        session.formerRunsOver = true;
+        send(session.id, opened(session));
       }
     }
   }
 
+  private boolean isOverBefore(OwnerSession session, long nowMs) {
+    return nowMs >= quietAtMs && !hasEarlierRuns(session);
+  }
+
   private boolean hasEarlierRuns(OwnerSession session) {
     return lives.values().stream()
         .flatMap(life -> life.runs().stream())
@@ -181,9 +186,7 @@
     OwnerSession session = sessions.get(sessionId);
     if (session != null) {
       session.lease.onBeat(sentAtMs, nowMs);
-      if (session.open) {
-        send(sessionId, rowsFor(session, nowMs));
-      }
+      send(sessionId, rowsFor(session, nowMs));
     }
   }
 
@@ -207,7 +210,7 @@
   /** Starts the runs of an order, as far as they may start. */
   public void startRuns(long sessionId, StartRuns order, long nowMs) {
     OwnerSession session = sessions.get(sessionId);
-    if (session == null || !session.open) {
+    if (session == null) {
       return;
     }
     session.lastOrder = Math.max(session.lastOrder, order.order());
@@ -409,9 +412,10 @@
       }
     }
     life.runs().forEach(run -> checkListed(life, run, listed));
-    listed.running().stream()
-        .filter(run -> life.find(run).isEmpty())
-        .forEach(run -> stopStranger(life, run));
+    List<RunRef> strangers =
+        listed.running().stream().filter(run -> life.find(run).isEmpty()).toList();
+    strangers.forEach(run -> stopStranger(life, run));
+    life.hasStrangers = !strangers.isEmpty();
     return newEnds;
   }
 
@@ -478,7 +482,7 @@
       tick(life, nowMs);
     }
     endedSessions.keySet().removeIf(id -> !hasRunsOf(id));
-    openSessions(nowMs);
+    tellOfFormerRuns(nowMs);
   }
 
   private boolean hasRunsOf(long sessionId) {
@@ -533,9 +537,7 @@
     shownRows = rows;
     shownAtMs = nowMs;
     for (OwnerSession session : sessions.values()) {
-      if (session.open) {
-        send(session.id, new HostRows(session.lastOrder, rows));
-      }
+      send(session.id, new HostRows(session.lastOrder, rows));
     }
   }
 
--- a/core/src/main/java/io/hingehoist/run/WorkerLife.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerLife.java
@@ -28,6 +28,10 @@
   private long leaseOverAtMs;
   long lastSeen;
   boolean silent;
+
+  /** Whether runs may be there that this host did not order: no room is given out meanwhile. */
+  boolean hasStrangers = true;
+
   boolean holdOpen;
   long holdSentAtMs;
   long holdDueAtMs;
@@ -142,7 +146,7 @@
     if (hostStops || info.draining()) {
       return WorkerState.DRAINING;
     }
-    if (silent) {
+    if (silent || hasStrangers) {
       return WorkerState.SILENT;
     }
     return failures.isFailing(nowMs) ? WorkerState.FAILING : WorkerState.READY;
--- a/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
+++ b/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
@@ -44,7 +44,6 @@
   private static final class Session {
     private final PeerChannel channel;
     private final long beganAtMs;
-    private boolean open;
 
     private Session(PeerChannel channel, long nowMs) {
       this.channel = channel;
@@ -79,10 +78,6 @@
     }
   }
 
-  int openCount() {
-    return (int) sessions.values().stream().filter(session -> session.open).count();
-  }
-
   /** Beats, and gives up hosts that are silent. Called at short intervals. */
   void onTick(long nowMs) {
     if (nowMs - beatAtMs < BEAT_MS) {
@@ -92,9 +87,7 @@
     for (Map.Entry<String, Session> entry : List.copyOf(sessions.entrySet())) {
       Session session = entry.getValue();
       session.channel.send(new OwnerBeat(nowMs));
-      // A host that ends its last runs for this owner has nothing to say yet.
-      long allowedMs = session.open ? silenceMs : 4 * silenceMs;
-      if (nowMs - Math.max(session.channel.heardAtMs(), session.beganAtMs) >= allowedMs) {
+      if (nowMs - Math.max(session.channel.heardAtMs(), session.beganAtMs) >= silenceMs) {
         lose(entry.getKey(), true);
       }
     }
@@ -163,10 +156,7 @@
         return;
       }
       switch (message) {
-        case SessionOpened opened -> {
-          session.open = true;
-          listener.onOpened(host, opened);
-        }
+        case SessionOpened opened -> listener.onOpened(host, opened);
         case Announce announce -> listener.onAnnounce(announce.self());
         default -> listener.onMessage(host, message);
       }
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -337,7 +337,7 @@
   private final class HostListener implements HostSessions.Listener {
     @Override
     public void onOpened(String hostId, SessionOpened opened) {
-      jobs.sessionOpened(hostId, opened.hostIncarnation());
+      jobs.sessionOpened(hostId, opened.hostIncarnation(), opened.formerRunsOver());
       settleLater();
     }
 
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -102,6 +102,7 @@
   private ControlState state;
   private long appliedIndex;
   private long snapshotIndex;
+  private boolean documentsChanged;
   private long tickedAtMs;
   private long clockAtMs;
   private volatile boolean closed;
@@ -255,6 +256,7 @@
       discover(now);
     }
     carryOut(replica.flush(now));
+    publishDocuments();
     syncJournal();
     afterSync.forEach(send -> send(send.address(), send.message()));
     afterSync.clear();
@@ -417,6 +419,16 @@
     links.send(address, message, nowMs());
   }
 
+  /**
+   * Once for all entries of a batch: after a start, the versions before the newest are of no use.
+   */
+  private void publishDocuments() {
+    if (documentsChanged) {
+      documentsChanged = false;
+      state.documents().forEach(discovery::publish);
+    }
+  }
+
   /** Makes this replica known to the others, and takes note of where they are. */
   private void discover(long now) {
     discovery
@@ -453,7 +465,7 @@
           LOG.infof(
               "event=documentApplied name=%s version=%d index=%d",
               row.name(), row.version(), entry.index());
-          discovery.publish(row);
+          documentsChanged = true;
         }
       }
     }
