--- a/core/src/main/java/io/hingehoist/run/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/JobOwner.java
@@ -37,6 +37,11 @@
 
   private static final long STRAGGLER_MIN_MS = 100;
 
+  /** After so long without any worker, jobs are refused that can't wait for one to be found. */
+  private static final long WITHOUT_WORKERS_MS = 250;
+
+  private static final long PATIENCE_WITHOUT_WORKERS_MS = 2_000;
+
   private final RunTiming timing;
   private final SpeedTable speeds = new SpeedTable();
   private final WorkerChoice choice = new WorkerChoice(speeds);
@@ -46,6 +51,7 @@
   private final WaitingTasks waiting = new WaitingTasks();
   private final List<OwnerEffect> effects = new ArrayList<>();
   private long jobNumber;
+  private long readyAtMs;
 
   private JobOwner(RunTiming timing) {
     this.timing = timing;
@@ -295,6 +301,9 @@
 
   /** Does what the time has made due. */
   public void onTick(long nowMs) {
+    if (readyAtMs == 0 || hasReadyWorker(nowMs)) {
+      readyAtMs = nowMs;
+    }
     for (OwnedTask task : List.copyOf(active.values())) {
       if (task.state == OwnedTask.State.UNCERTAIN && nowMs >= task.uncertainUntilMs) {
         requeue(task, "provablyOver");
@@ -303,14 +312,24 @@
       }
     }
     for (OwnedJob job : List.copyOf(jobs.values())) {
-      boolean worthless = nowMs - job.takenAtMs >= job.plan.worthlessAfterMs();
-      if (worthless && !job.mayHaveStarted()) {
-        end(job, new JobEnd.Refused("no room in time", RETRY_AFTER_MS));
-      }
+      refuseIfHopeless(job, nowMs);
     }
     waiting.putLateBehind(task -> speeds.expectedMs(task.plan().estimateMs()), nowMs);
   }
 
+  /** A job that was not started and can't be worth anything is refused at once, not at its end. */
+  private void refuseIfHopeless(OwnedJob job, long nowMs) {
+    if (job.mayHaveStarted()) {
+      return;
+    }
+    if (nowMs - job.takenAtMs >= job.plan.worthlessAfterMs()) {
+      end(job, new JobEnd.Refused("no room in time", RETRY_AFTER_MS));
+    } else if (job.plan.worthlessAfterMs() < PATIENCE_WITHOUT_WORKERS_MS
+        && nowMs - readyAtMs >= WITHOUT_WORKERS_MS) {
+      end(job, new JobEnd.Refused("no worker is known", RETRY_AFTER_MS));
+    }
+  }
+
   private void checkProgress(OwnedTask task, long nowMs) {
     long ranMs = nowMs - task.orderedAtMs;
     double expectedMs = speeds.expectedMs(task.plan().estimateMs());
--- a/core/src/test/java/io/hingehoist/run/JobOwnerTest.java
+++ b/core/src/test/java/io/hingehoist/run/JobOwnerTest.java
@@ -231,6 +231,22 @@
     assertTrue(answers().getFirst() instanceof JobEnd.Refused);
   }
 
+  @Test
+  public void withoutAnyWorkerAJobThatCannotWaitIsRefusedSoon() {
+    JobOwner owner = JobOwner.create(TIMING);
+    owner.onTick(1_000);
+    owner.onTick(1_400);
+    JobPlan hurried = new JobPlan("j", "q", "s", "spec", 0, 2, 500, 1_500, List.of(step(1)));
+    JobPlan patient = new JobPlan("k", "q", "s", "spec", 0, 2, 2_000, 6_000, List.of(step(1)));
+    owner.submit(hurried, 1_400);
+    owner.submit(patient, 1_400);
+    owner.onTick(1_450);
+    settle(owner, 1_450);
+    assertEquals(answers().size(), 1);
+    assertTrue(answers().getFirst() instanceof JobEnd.Refused);
+    assertEquals(owner.jobCount(), 1);
+  }
+
   @Test
   public void aJobThatMayHaveStartedIsNeverRefused() {
     JobOwner owner = ownerWith("h1");
