Revert: hosts take up the workers that they knew

The try rested on a wrong reading: when power comes back the workers are new lives, so what a host remembered was gone when it asked (workerGone, 'hold found it gone', 0.2 s after its start). It would help where only the system's processes are killed; the log writes were not worth it.

--- a/core/src/main/java/io/hingehoist/control/DocumentTable.java
+++ b/core/src/main/java/io/hingehoist/control/DocumentTable.java
@@ -29,13 +29,11 @@
     if (held == null || command.version() > held.version()) {
       documents.put(
           command.name(), new DocumentRow(command.name(), command.version(), command.content()));
-      return new DocumentAccepted(command.name(), command.version());
+      return new DocumentAccepted(command.version());
     }
     boolean conflicts =
         command.version() == held.version() && !command.content().equals(held.content());
-    return conflicts
-        ? new DocumentConflict(held.version())
-        : new DocumentAccepted(command.name(), held.version());
+    return conflicts ? new DocumentConflict(held.version()) : new DocumentAccepted(held.version());
   }
 
   Optional<DocumentRow> find(String name) {
--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -8,7 +8,6 @@
 import io.hingehoist.message.RunRefusal;
 import io.hingehoist.message.SessionOpened;
 import io.hingehoist.message.StartRuns;
-import io.hingehoist.message.WorkerRecord;
 import io.hingehoist.message.WorkerRow;
 import io.hingehoist.message.WorkerState;
 import java.util.ArrayList;
@@ -99,54 +98,6 @@
     }
   }
 
-  /**
-   * Takes up workers that an earlier life of this host knew. Each gets no run before it has listed
-   * its runs, and is forgotten if another life is there.
-   */
-  public void workersRemembered(List<WorkerRecord> records, long nowMs) {
-    for (WorkerRecord record : records) {
-      boolean known =
-          lives.values().stream()
-              .anyMatch(
-                  life ->
-                      life.id().equals(record.workerId())
-                          || life.info().address().equals(record.address()));
-      if (!known) {
-        workerSeen(toInfo(record), nowMs);
-      }
-    }
-  }
-
-  private static WorkerInfo toInfo(WorkerRecord record) {
-    return new WorkerInfo(
-        record.workerId(),
-        record.service(),
-        record.address(),
-        record.zone(),
-        false,
-        record.capacity(),
-        record.labels(),
-        0,
-        0);
-  }
-
-  /** Returns the workers that a later life of this host should take up. */
-  public List<WorkerRecord> workersToRemember() {
-    return lives.values().stream()
-        .map(WorkerLife::info)
-        .filter(info -> !info.draining())
-        .map(
-            info ->
-                new WorkerRecord(
-                    info.workerId(),
-                    info.service(),
-                    info.address(),
-                    info.zone(),
-                    info.capacity(),
-                    info.labels()))
-        .toList();
-  }
-
   private void endLivesAt(String address) {
     for (WorkerLife life : List.copyOf(lives.values())) {
       if (life.info().address().equals(address)) {
--- a/core/src/test/java/io/hingehoist/control/DocumentTableTest.java
+++ b/core/src/test/java/io/hingehoist/control/DocumentTableTest.java
@@ -24,8 +24,8 @@
   @Test
   public void theHighestVersionHolds() {
     ControlState state = ControlState.create();
-    assertEquals(publish(state, 5, ONE), new DocumentAccepted("d", 5));
-    assertEquals(publish(state, 9, TWO), new DocumentAccepted("d", 9));
+    assertEquals(publish(state, 5, ONE), new DocumentAccepted(5));
+    assertEquals(publish(state, 9, TWO), new DocumentAccepted(9));
     assertEquals(state.document("d").orElseThrow().content(), TWO);
   }
 
@@ -33,7 +33,7 @@
   public void aVersionBelowTheHeldOneIsAcknowledgedAndChangesNothing() {
     ControlState state = ControlState.create();
     publish(state, 9, TWO);
-    assertEquals(publish(state, 5, ONE), new DocumentAccepted("d", 9));
+    assertEquals(publish(state, 5, ONE), new DocumentAccepted(9));
     assertEquals(state.document("d").orElseThrow().content(), TWO);
   }
 
@@ -41,7 +41,7 @@
   public void theHeldVersionAgainIsAcknowledgedOnlyWithItsContent() {
     ControlState state = ControlState.create();
     publish(state, 9, TWO);
-    assertEquals(publish(state, 9, TWO), new DocumentAccepted("d", 9));
+    assertEquals(publish(state, 9, TWO), new DocumentAccepted(9));
     assertEquals(publish(state, 9, ONE), new DocumentConflict(9));
     assertEquals(state.document("d").orElseThrow().content(), TWO);
   }
--- a/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
+++ b/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
@@ -282,41 +282,6 @@
     assertEquals(all(HostEffect.CallStop.class).getFirst().run(), run(9, 3));
   }
 
-  @Test
-  public void aRememberedWorkerGetsRunsOnceItHasListedItsOwn() {
-    WorkerHost before = hostWithOwner(1_000);
-    WorkerHost host = WorkerHost.create("h", 2, "z", TIMING, 100, 1_000);
-    host.sessionBegan(SESSION, "o", 1_000);
-    host.workersRemembered(before.workersToRemember(), 1_010);
-    order(host, 1_010, run(0, 1));
-    assertEquals(told(RunNotStarted.class).getFirst().reason(), RunRefusal.NOT_READY);
-    list(host, 1_020, List.of());
-    order(host, 1_030, run(0, 2));
-    HostEffect.CallStart start = all(HostEffect.CallStart.class).getFirst();
-    assertTrue(start.deadlineMs() > 501_000, "the worker's clock is that of its list");
-  }
-
-  @Test
-  public void aRememberedWorkerIsForgottenWhereAnotherLifeIsThere() {
-    WorkerHost before = hostWithOwner(1_000);
-    WorkerHost host = WorkerHost.create("h", 2, "z", TIMING, 100, 1_000);
-    host.workersRemembered(before.workersToRemember(), 1_010);
-    assertEquals(host.workerCount(), 1);
-    host.holdAnswered("w1", new HoldAnswer.Gone(), 1_020);
-    assertEquals(host.workerCount(), 0);
-    host.workerSeen(worker("w2", false, 1), 1_030);
-    // What comes late of the memory does not put a known worker out.
-    host.workersRemembered(before.workersToRemember(), 1_040);
-    assertEquals(host.workersToRemember().getFirst().workerId(), "w2");
-  }
-
-  @Test
-  public void aWorkerThatLeavesIsNotRemembered() {
-    WorkerHost host = hostWithOwner(1_000);
-    host.workerSeen(worker("w1", true, 2), 1_010);
-    assertEquals(host.workersToRemember(), List.of());
-  }
-
   @Test
   public void aWorkerThatFailsEverythingIsShownAsFailing() {
     WorkerHost host = hostWithOwner(1_000);
--- a/daemon/src/main/java/io/hingehoist/daemon/AdaptedProcess.java
+++ b/daemon/src/main/java/io/hingehoist/daemon/AdaptedProcess.java
@@ -3,7 +3,6 @@
 import io.hingehoist.adapter.Adapter;
 import io.hingehoist.adapter.Adapters;
 import io.hingehoist.config.DaemonSettings;
-import io.hingehoist.control.DocumentNames;
 import io.hingehoist.host.HostNode;
 import io.hingehoist.journal.Disk;
 import io.hingehoist.journal.Identity;
@@ -104,7 +103,7 @@
             Main::halt);
     if (!section.doorAddress().isEmpty()) {
       LocalConfigurations configurations =
-          LocalConfigurations.of(control, loop, DocumentNames.CONFIGURATION);
+          LocalConfigurations.of(control, loop, OwnerNode.CONFIGURATION);
       HttpServer.open(
           loop, section.doorAddress(), MAX_DOOR_BODY_BYTES, adapter.controlDoor(configurations));
     }
--- a/daemon/src/main/java/io/hingehoist/host/HostNode.java
+++ b/daemon/src/main/java/io/hingehoist/host/HostNode.java
@@ -13,7 +13,6 @@
 import io.hingehoist.message.Role;
 import io.hingehoist.message.StartRuns;
 import io.hingehoist.message.StopRun;
-import io.hingehoist.message.WorkerRecord;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.net.ControlLinks;
 import io.hingehoist.net.EventLoop;
@@ -29,7 +28,6 @@
 import io.hingehoist.settings.HostSection;
 import io.hingehoist.settings.NodeSection;
 import java.io.IOException;
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -48,7 +46,6 @@
   private final WorkerHost host;
   private final WorkerCalls workers;
   private final ControlLinks controls;
-  private final WorkerMemory memory;
   private final OwnerLinks owners;
   private final PeerServer peers;
   private final CountDownLatch settled = new CountDownLatch(1);
@@ -78,8 +75,6 @@
         new Peer(node.nodeId(), Role.AGENT, settings.listenAddress(), incarnation, node.zone());
     this.workers = adapter.workerCalls(loop, settings.listenAddress());
     this.controls = ControlLinks.create(loop, self, metrics, new ControlListener());
-    this.memory =
-        new WorkerMemory(node.nodeId(), controls, log, this::takeRemembered, EventLoop.nowMs());
     this.owners = new OwnerLinks(loop, self, metrics, new OwnerListener());
     this.peers = PeerServer.open(loop, settings.listenAddress(), AnnouncementHandler::new, metrics);
     HttpServer.open(loop, settings.workerDoorAddress(), MAX_BODY_BYTES, adapter.workerDoor(this));
@@ -118,7 +113,6 @@
     controls.onTick(now);
     owners.onTick(now);
     host.onTick(now);
-    memory.onTick(host.workersToRemember(), now);
     settle();
     if (stopping && host.isIdle()) {
       settled.countDown();
@@ -195,11 +189,6 @@
 
   // What workers, owners and control replicas say.
 
-  private void takeRemembered(List<WorkerRecord> workers) {
-    host.workersRemembered(workers, EventLoop.nowMs());
-    settleLater();
-  }
-
   @Override
   public void workerSeen(WorkerInfo info) {
     host.workerSeen(info, EventLoop.nowMs());
--- a/daemon/src/main/java/io/hingehoist/net/ControlLinks.java
+++ b/daemon/src/main/java/io/hingehoist/net/ControlLinks.java
@@ -2,18 +2,14 @@
 
 import io.hingehoist.command.DocumentVersion;
 import io.hingehoist.command.GetDocument;
-import io.hingehoist.command.PublishDocument;
 import io.hingehoist.command.QueryAnswer;
 import io.hingehoist.directory.PeerDirectory;
 import io.hingehoist.message.Announce;
-import io.hingehoist.message.Bytes;
 import io.hingehoist.message.Directory;
 import io.hingehoist.message.DocumentUpdate;
 import io.hingehoist.message.Hello;
 import io.hingehoist.message.Message;
 import io.hingehoist.message.Peer;
-import io.hingehoist.message.ProposeRequest;
-import io.hingehoist.message.ProposeResponse;
 import io.hingehoist.message.QueryRequest;
 import io.hingehoist.message.QueryResponse;
 import io.hingehoist.message.ReplyStatus;
@@ -36,7 +32,6 @@
   private static final long ANNOUNCE_MS = 500;
   private static final long KEPT_MS = 600_000;
   private static final long READ_TIMEOUT_MS = 400;
-  private static final long PUBLISH_TIMEOUT_MS = 1_500;
 
   /** Takes what control replicas say, on the event loop. */
   public interface Listener {
@@ -64,7 +59,6 @@
   private final PeerDirectory directory = PeerDirectory.create(KEPT_MS);
   private final Map<String, Link> links = new HashMap<>();
   private final Map<Long, PendingRead> reads = new HashMap<>();
-  private final Map<Long, Consumer<Boolean>> publications = new HashMap<>();
   private long announcedAtMs;
   private long nextRead;
 
@@ -145,27 +139,6 @@
     loop.schedule(() -> settle(id, Optional.empty()), READ_TIMEOUT_MS);
   }
 
-  /**
-   * Publishes a version of a document by whichever replica leads.
-   *
-   * @param result gets whether it is known to be held
-   */
-  public void publish(String document, long version, Bytes content, Consumer<Boolean> result) {
-    long id = ++nextRead;
-    publications.put(id, result);
-    Bytes command = new PublishDocument(document, version, content).toBytes();
-    ProposeRequest request = new ProposeRequest(id, command);
-    links.values().forEach(link -> link.frames.send(request));
-    loop.schedule(() -> settlePublication(id, false), PUBLISH_TIMEOUT_MS);
-  }
-
-  private void settlePublication(long id, boolean held) {
-    Consumer<Boolean> waiting = publications.remove(id);
-    if (waiting != null) {
-      waiting.accept(held);
-    }
-  }
-
   private void settle(long id, Optional<DocumentVersion> version) {
     PendingRead read = reads.remove(id);
     if (read != null) {
@@ -193,11 +166,6 @@
         case Directory update -> take(update);
         case DocumentUpdate update -> listener.onDocument(update);
         case QueryResponse response -> take(response);
-        case ProposeResponse response -> {
-          if (response.status() == ReplyStatus.OK) {
-            settlePublication(response.requestId(), true);
-          }
-        }
         default -> channel.close();
       }
     }
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -2,7 +2,6 @@
 
 import io.hingehoist.adapter.Adapter;
 import io.hingehoist.adapter.JobIntake;
-import io.hingehoist.control.DocumentNames;
 import io.hingehoist.directory.PeerDirectory;
 import io.hingehoist.log.DecisionLog;
 import io.hingehoist.message.DocumentUpdate;
@@ -44,6 +43,9 @@
  * addresses of hosts.
  */
 public final class OwnerNode implements JobIntake, AutoCloseable {
+  /** The name of the document that holds the routes. */
+  public static final String CONFIGURATION = "configuration";
+
   private static final int MAX_BODY_BYTES = 1 << 20;
   private static final int MAX_READY_BODY_BYTES = 4_096;
   private static final long TICK_MS = 50;
@@ -255,7 +257,7 @@
   @Override
   public void readNewestRoutes(Consumer<Optional<RouteTable>> result) {
     controls.read(
-        DocumentNames.CONFIGURATION,
+        CONFIGURATION,
         found -> {
           found
               .filter(document -> document.version() > 0)
@@ -321,7 +323,7 @@
 
     @Override
     public void onDocument(DocumentUpdate update) {
-      if (update.name().equals(DocumentNames.CONFIGURATION)) {
+      if (update.name().equals(CONFIGURATION)) {
         takeRoutes(update.version(), update.content());
       }
     }
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -10,7 +10,6 @@
 import io.hingehoist.command.SettingsAccepted;
 import io.hingehoist.command.SettingsRefused;
 import io.hingehoist.control.ControlState;
-import io.hingehoist.control.DocumentNames;
 import io.hingehoist.control.Liveness;
 import io.hingehoist.journal.Disk;
 import io.hingehoist.journal.Journal;
@@ -45,6 +44,7 @@
 import io.hingehoist.settings.ControlSection;
 import io.hingehoist.settings.NodeSection;
 import io.hingehoist.state.AgentRow;
+import io.hingehoist.state.DocumentRow;
 import io.hingehoist.wire.Addresses;
 import io.hingehoist.wire.FrameConnection;
 import io.hingehoist.wire.FrameHandler;
@@ -425,9 +425,7 @@
   private void publishDocuments() {
     if (documentsChanged) {
       documentsChanged = false;
-      state.documents().stream()
-          .filter(row -> DocumentNames.isFollowed(row.name()))
-          .forEach(discovery::publish);
+      state.documents().forEach(discovery::publish);
     }
   }
 
@@ -461,11 +459,15 @@
   }
 
   private void noteDocument(LogEntry entry, CommandResult result) {
-    if (result instanceof DocumentAccepted accepted) {
-      LOG.infof(
-          "event=documentApplied name=%s version=%d index=%d",
-          accepted.name(), accepted.heldVersion(), entry.index());
-      documentsChanged |= DocumentNames.isFollowed(accepted.name());
+    if (result instanceof DocumentAccepted accepted && entry.kind() == EntryKind.COMMAND) {
+      for (DocumentRow row : state.documents()) {
+        if (row.version() == accepted.heldVersion()) {
+          LOG.infof(
+              "event=documentApplied name=%s version=%d index=%d",
+              row.name(), row.version(), entry.index());
+          documentsChanged = true;
+        }
+      }
     }
   }
 
--- a/daemon/src/main/java/io/hingehoist/quorum/Discovery.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/Discovery.java
@@ -1,6 +1,5 @@
 package io.hingehoist.quorum;
 
-import io.hingehoist.control.DocumentNames;
 import io.hingehoist.directory.PeerDirectory;
 import io.hingehoist.message.Announce;
 import io.hingehoist.message.Directory;
@@ -45,9 +44,7 @@
     boolean current = announce.directoryVersion() == directory.version();
     sender.send(new Directory(directory.version(), current ? List.of() : directory.peers()));
     if (announce.self().role() == Role.ENTRY && followers.add(sender)) {
-      documents.stream()
-          .filter(row -> DocumentNames.isFollowed(row.name()))
-          .forEach(row -> sender.send(toUpdate(row)));
+      documents.forEach(row -> sender.send(toUpdate(row)));
     }
   }
 
