--- a/core/src/main/java/io/hingehoist/run/HostEffect.java
+++ b/core/src/main/java/io/hingehoist/run/HostEffect.java
@@ -30,6 +30,9 @@
       String workerId, String address, long deadlineMs, long token, long lastSeen, long waitMs)
       implements HostEffect {}
 
+  /** Closes the connections to an address that no worker uses any more. */
+  record ForgetAddress(String address) implements HostEffect {}
+
   /** Sends a message to an owner. */
   record ToOwner(long sessionId, Message message) implements HostEffect {}
 
--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -130,6 +130,7 @@
     lives.remove(life.id());
     note("workerGone", "", life.id(), "reason=" + reason);
     life.runs().forEach(run -> over(life, run, RunEnd.LOST));
+    effects.add(new HostEffect.ForgetAddress(life.info().address()));
   }
 
   private Optional<WorkerLife> life(String workerId) {
--- a/core/src/test/java/io/hingehoist/run/PlayedRuns.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedRuns.java
@@ -132,6 +132,7 @@
             session.closedByHost();
           }
         }
+        case HostEffect.ForgetAddress forget -> {}
         case HostEffect.Noted noted -> trace.add(nowMs + " " + id + " " + noted.decision());
       }
     }
--- a/daemon/src/main/java/io/hingehoist/adapter/WorkerCalls.java
+++ b/daemon/src/main/java/io/hingehoist/adapter/WorkerCalls.java
@@ -3,7 +3,6 @@
 import io.hingehoist.run.HoldAnswer;
 import io.hingehoist.run.HostEffect;
 import io.hingehoist.run.StartAnswer;
-import java.util.Set;
 import java.util.function.Consumer;
 
 /** Calls the workers on a box. Used on the event loop; each answer comes once, there. */
@@ -22,6 +21,6 @@
   /** Renews a lease and asks for the runs. */
   void hold(HostEffect.CallHold call, Consumer<HoldAnswer> answer);
 
-  /** Closes the connections to workers other than these. */
-  void keepOnly(Set<String> addresses);
+  /** Closes the connections to an address that no worker uses any more. */
+  void forget(String address);
 }
--- a/daemon/src/main/java/io/hingehoist/host/HostNode.java
+++ b/daemon/src/main/java/io/hingehoist/host/HostNode.java
@@ -20,6 +20,7 @@
 import io.hingehoist.net.PeerChannel;
 import io.hingehoist.net.PeerHandler;
 import io.hingehoist.net.PeerServer;
+import io.hingehoist.net.PlannedStop;
 import io.hingehoist.quorum.ControlAddresses;
 import io.hingehoist.run.HostEffect;
 import io.hingehoist.run.RunTiming;
@@ -28,19 +29,13 @@
 import io.hingehoist.settings.HostSection;
 import io.hingehoist.settings.NodeSection;
 import java.io.IOException;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 
 /** A host: one event loop that owns the {@link WorkerHost} and carries all connections. */
 public final class HostNode implements WorkerRegistry, AutoCloseable {
   private static final int MAX_BODY_BYTES = 64 * 1024;
   private static final long TICK_MS = 50;
 
-  /** What is left of the time of a planned stop when the process ends in any case. */
-  private static final long STOP_MARGIN_MS = 300;
-
   private final NodeSection node;
-  private final HostSection settings;
   private final DecisionLog log;
   private final EventLoop loop;
   private final WorkerHost host;
@@ -48,9 +43,8 @@
   private final ControlLinks controls;
   private final OwnerLinks owners;
   private final PeerServer peers;
-  private final CountDownLatch settled = new CountDownLatch(1);
+  private final PlannedStop stop;
   private boolean settling;
-  private boolean stopping;
 
   private HostNode(
       NodeSection node,
@@ -61,7 +55,7 @@
       EventLoop loop)
       throws IOException {
     this.node = node;
-    this.settings = settings;
+    this.stop = PlannedStop.of(settings.stopTimeoutSeconds());
     this.log = log;
     this.loop = loop;
     long incarnation = System.currentTimeMillis();
@@ -114,8 +108,8 @@
     owners.onTick(now);
     host.onTick(now);
     settle();
-    if (stopping && host.isIdle()) {
-      settled.countDown();
+    if (stop.hasBegun() && host.isIdle()) {
+      stop.settle();
     }
   }
 
@@ -126,21 +120,14 @@
   public boolean stop() {
     loop.execute(
         () -> {
-          stopping = true;
+          stop.begin(EventLoop.nowMs());
           host.stopTaking();
           log.write("stopping", node.nodeId(), "runs=" + host.runCount());
           settleLater();
         });
-    try {
-      long timeoutMs = (long) (settings.stopTimeoutSeconds() * 1_000);
-      long waitMs = Math.max(0, timeoutMs - STOP_MARGIN_MS);
-      boolean ended = settled.await(waitMs, TimeUnit.MILLISECONDS);
-      log.write("stopped", node.nodeId(), "allRunsEnded=" + ended);
-      return ended;
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      return false;
-    }
+    boolean ended = stop.await();
+    log.write("stopped", node.nodeId(), "allRunsEnded=" + ended);
+    return ended;
   }
 
   // Effects.
@@ -181,6 +168,7 @@
                 host.holdAnswered(call.workerId(), answer, EventLoop.nowMs());
                 settleLater();
               });
+      case HostEffect.ForgetAddress forget -> workers.forget(forget.address());
       case HostEffect.ToOwner to -> owners.send(to.sessionId(), to.message());
       case HostEffect.CloseSession session -> owners.close(session.sessionId());
       case HostEffect.Noted noted -> log.write(noted.decision());
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -18,6 +18,7 @@
 import io.hingehoist.net.HttpAnswer;
 import io.hingehoist.net.HttpCall;
 import io.hingehoist.net.HttpServer;
+import io.hingehoist.net.PlannedStop;
 import io.hingehoist.quorum.ControlAddresses;
 import io.hingehoist.route.RouteTable;
 import io.hingehoist.run.JobEnd;
@@ -32,8 +33,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -56,9 +55,6 @@
   /** A stopping owner takes a job if this many times its objective is left. */
   private static final double STOP_SPARE_FACTOR = 1.3;
 
-  /** What is left of the time of a planned stop when the process ends in any case. */
-  private static final long STOP_MARGIN_MS = 300;
-
   private final NodeSection node;
   private final OwnerSection settings;
   private final Adapter adapter;
@@ -69,13 +65,12 @@
   private final JobOwner jobs;
   private final JobWaiters waiters = new JobWaiters();
   private final Map<String, Long> takenAtMs = new HashMap<>();
-  private final CountDownLatch settled = new CountDownLatch(1);
+  private final PlannedStop stop;
   private final ControlLinks controls;
   private final HostSessions hosts;
   private final HttpServer front;
   private RouteTable routes = RouteTable.empty();
   private long tickedAtMs;
-  private long stopAtMs = Long.MAX_VALUE;
   private boolean settling;
 
   private OwnerNode(
@@ -90,6 +85,7 @@
     this.settings = settings;
     this.adapter = adapter;
     this.metrics = metrics;
+    this.stop = PlannedStop.of(settings.stopTimeoutSeconds());
     this.log = log;
     this.loop = loop;
     this.timing =
@@ -143,14 +139,11 @@
   }
 
   private void answerReady(HttpCall call) {
-    boolean ready = !isStopping() && routes.version() > 0 && jobs.hasReadyWorker(EventLoop.nowMs());
+    boolean ready =
+        !stop.hasBegun() && routes.version() > 0 && jobs.hasReadyWorker(EventLoop.nowMs());
     call.answer(HttpAnswer.text(ready ? 200 : 503, ready ? "ready" : "not ready"));
   }
 
-  private boolean isStopping() {
-    return stopAtMs != Long.MAX_VALUE;
-  }
-
   // Time.
 
   private void onTick() {
@@ -164,7 +157,7 @@
     hosts.knock(controls.directory().peers(Role.AGENT), now);
     jobs.onTick(now);
     settle();
-    if (isStopping()) {
+    if (stop.hasBegun()) {
       checkStop(now);
     }
   }
@@ -176,15 +169,10 @@
     hosts.loseAll();
   }
 
-  private long stopTimeoutMs() {
-    return (long) (settings.stopTimeoutSeconds() * 1_000);
-  }
-
   private void checkStop(long now) {
-    boolean quiet = now - stopAtMs >= STOP_SERVING_MS && front.openCalls() == 0;
-    boolean late = now - stopAtMs >= stopTimeoutMs() - STOP_MARGIN_MS;
-    if (quiet || late) {
-      settled.countDown();
+    boolean quiet = stop.elapsedMs(now) >= STOP_SERVING_MS && front.openCalls() == 0;
+    if (quiet || stop.leftMs(now) <= 0) {
+      stop.settle();
     }
   }
 
@@ -195,18 +183,13 @@
   public boolean stop() {
     loop.execute(
         () -> {
-          stopAtMs = EventLoop.nowMs();
+          stop.begin(EventLoop.nowMs());
           front.closeAfterAnswers();
           log.write("stopping", node.nodeId(), "jobs=" + jobs.jobCount());
         });
-    try {
-      boolean ended = settled.await(stopTimeoutMs(), TimeUnit.MILLISECONDS);
-      log.write("stopped", node.nodeId(), "jobsLeft=" + jobs.jobCount());
-      return ended && jobs.jobCount() == 0;
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      return false;
-    }
+    boolean ended = stop.await();
+    log.write("stopped", node.nodeId(), "jobsLeft=" + jobs.jobCount());
+    return ended && jobs.jobCount() == 0;
   }
 
   // Effects.
@@ -268,8 +251,8 @@
 
   @Override
   public boolean refuses(JobPlan plan) {
-    long leftMs = stopAtMs + stopTimeoutMs() - STOP_MARGIN_MS - EventLoop.nowMs();
-    return isStopping() && leftMs < STOP_SPARE_FACTOR * plan.objectiveMs();
+    double neededMs = STOP_SPARE_FACTOR * plan.objectiveMs();
+    return stop.hasBegun() && stop.leftMs(EventLoop.nowMs()) < neededMs;
   }
 
   @Override
