--- a/daemon/src/main/java/io/hingehoist/entry/JobDesk.java
+++ b/daemon/src/main/java/io/hingehoist/entry/JobDesk.java
@@ -16,6 +16,7 @@
 import io.hingehoist.command.OutcomeCommitted;
 import io.hingehoist.command.OutcomeStatus;
 import io.hingehoist.command.QueryAnswer;
+import io.hingehoist.command.RefusalReason;
 import io.hingehoist.dispatch.DispatchEffect;
 import io.hingehoist.dispatch.Dispatcher;
 import io.hingehoist.dispatch.JobSpec;
@@ -42,6 +43,7 @@
 
   private static final long FIND_WAIT_MS = 5_000;
   private static final long FIND_MARGIN_MS = 1_500;
+  private static final long ADMIT_AGAIN_MS = 100;
   private static final long RETRY_AFTER_MS = 1_000;
 
   private record Key(String caller, String submissionId) {}
@@ -175,11 +177,27 @@
         awaitElsewhere(job);
       }
       case AlreadyEnded already -> job.end(toAnswer(already.outcome()));
+      case AdmissionRefused refused when refused.reason() == RefusalReason.ENTRY_NOT_LIVE ->
+          admitAgain(job);
       case AdmissionRefused refused -> job.end(Refusals.toAnswer(refused));
       default -> throw new IllegalStateException("not an answer to an admission: " + result);
     }
   }
 
+  /**
+   * The incarnation ended while the admission was on its way, as after a freeze: nothing was
+   * admitted, and this entry is about to register anew. The caller's deadline bounds the tries.
+   */
+  private void admitAgain(LocalJob job) {
+    CompletableFuture.delayedExecutor(ADMIT_AGAIN_MS, TimeUnit.MILLISECONDS, dispatchThread)
+        .execute(
+            () -> {
+              if (!job.ended().isDone()) {
+                admit(job);
+              }
+            });
+  }
+
   private void start(LocalJob job, Admitted admitted) {
     JobSubmission submission = job.submission();
     byJobId.put(admitted.jobId(), job);
--- /dev/null
+++ b/daemon/src/test/java/io/hingehoist/net/PeerLinkTest.java
@@ -0,0 +1,122 @@
+package io.hingehoist.net;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.hingehoist.message.Hello;
+import io.hingehoist.message.Message;
+import io.hingehoist.message.OwnerBeat;
+import io.hingehoist.message.Role;
+import io.hingehoist.metrics.Metrics;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public final class PeerLinkTest {
+  private static final Hello HELLO = new Hello(Role.AGENT, "h", 1, "", 1);
+
+  private final BlockingQueue<Message> received = new LinkedBlockingQueue<>();
+  private final BlockingQueue<PeerChannel> accepted = new LinkedBlockingQueue<>();
+  private final BlockingQueue<PeerChannel> closed = new LinkedBlockingQueue<>();
+  private EventLoop loop;
+  private String address;
+  private PeerServer server;
+
+  @BeforeMethod
+  public void open() throws IOException {
+    received.clear();
+    accepted.clear();
+    closed.clear();
+    loop = EventLoop.start(Throwable::printStackTrace);
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      address = "127.0.0.1:" + socket.getLocalPort();
+    }
+    server = PeerServer.open(loop, address, Recorder::new, Metrics.create());
+  }
+
+  @AfterMethod
+  public void close() {
+    server.close();
+    loop.close();
+  }
+
+  private final class Recorder implements PeerHandler {
+    @Override
+    public void onOpen(PeerChannel channel) {
+      accepted.add(channel);
+    }
+
+    @Override
+    public void onMessage(PeerChannel channel, Message message) {
+      received.add(message);
+    }
+
+    @Override
+    public void onClosed(PeerChannel channel) {
+      closed.add(channel);
+    }
+  }
+
+  private static final class Silent implements PeerHandler {
+    @Override
+    public void onOpen(PeerChannel channel) {
+      channel.send(new OwnerBeat(7));
+    }
+
+    @Override
+    public void onMessage(PeerChannel channel, Message message) {}
+
+    @Override
+    public void onClosed(PeerChannel channel) {}
+  }
+
+  private PeerLink link() throws Exception {
+    var opened = new java.util.concurrent.CompletableFuture<PeerLink>();
+    loop.execute(
+        () ->
+            opened.complete(
+                PeerLink.open(
+                    loop, address, "127.0.0.1:1", () -> HELLO, new Silent(), Metrics.create())));
+    return opened.get(10, TimeUnit.SECONDS);
+  }
+
+  @Test
+  public void saysHelloFirstAndConnectsAgainAfterABreak() throws Exception {
+    PeerLink link = link();
+    for (int round = 0; round < 2; round++) {
+      assertEquals(received.poll(10, TimeUnit.SECONDS), HELLO);
+      assertEquals(received.poll(10, TimeUnit.SECONDS), new OwnerBeat(7));
+      PeerChannel channel = accepted.poll(10, TimeUnit.SECONDS);
+      loop.execute(channel::close);
+    }
+    loop.execute(link::close);
+  }
+
+  @Test
+  public void givesUpAConnectionOnWhichNothingIsHeard() throws Exception {
+    PeerLink link = link();
+    assertTrue(accepted.poll(10, TimeUnit.SECONDS) != null);
+    assertEquals(received.poll(10, TimeUnit.SECONDS), HELLO);
+    assertEquals(received.poll(10, TimeUnit.SECONDS), new OwnerBeat(7));
+    loop.execute(() -> link.onTick(EventLoop.nowMs() + 10_000));
+    assertTrue(closed.poll(10, TimeUnit.SECONDS) != null);
+    assertEquals(received.poll(10, TimeUnit.SECONDS), HELLO);
+    loop.execute(link::close);
+  }
+
+  @Test
+  public void garbageClosesTheConnection() throws Exception {
+    int port = Integer.parseInt(address.substring(address.indexOf(':') + 1));
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      socket.getOutputStream().write(new byte[] {0, 0, 0, 3, 1, 2, 3});
+      assertTrue(closed.poll(10, TimeUnit.SECONDS) != null);
+    }
+  }
+}
