--- a/daemon/src/test/java/io/hingehoist/net/PeerLinkTest.java
+++ b/daemon/src/test/java/io/hingehoist/net/PeerLinkTest.java
@@ -22,23 +22,25 @@
 public final class PeerLinkTest {
   private static final Hello HELLO = new Hello(Role.AGENT, "h", 1, "", 1);
 
-  private final BlockingQueue<Message> received = new LinkedBlockingQueue<>();
-  private final BlockingQueue<PeerChannel> accepted = new LinkedBlockingQueue<>();
-  private final BlockingQueue<PeerChannel> closed = new LinkedBlockingQueue<>();
+  private BlockingQueue<Message> received;
+  private BlockingQueue<PeerChannel> accepted;
+  private BlockingQueue<PeerChannel> closed;
   private EventLoop loop;
   private String address;
   private PeerServer server;
 
   @BeforeMethod
   public void open() throws IOException {
-    received.clear();
-    accepted.clear();
-    closed.clear();
+    received = new LinkedBlockingQueue<>();
+    accepted = new LinkedBlockingQueue<>();
+    closed = new LinkedBlockingQueue<>();
     loop = EventLoop.start(Throwable::printStackTrace);
     try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       address = "127.0.0.1:" + socket.getLocalPort();
     }
-    server = PeerServer.open(loop, address, Recorder::new, Metrics.create());
+    // What the connections of an earlier test still bring goes to the queues of that test.
+    Recorder recorder = new Recorder(received, accepted, closed);
+    server = PeerServer.open(loop, address, () -> recorder, Metrics.create());
   }
 
   @AfterMethod
@@ -47,20 +49,24 @@
     loop.close();
   }
 
-  private final class Recorder implements PeerHandler {
+  private record Recorder(
+      BlockingQueue<Message> messages,
+      BlockingQueue<PeerChannel> opened,
+      BlockingQueue<PeerChannel> ended)
+      implements PeerHandler {
     @Override
     public void onOpen(PeerChannel channel) {
-      accepted.add(channel);
+      opened.add(channel);
     }
 
     @Override
     public void onMessage(PeerChannel channel, Message message) {
-      received.add(message);
+      messages.add(message);
     }
 
     @Override
     public void onClosed(PeerChannel channel) {
-      closed.add(channel);
+      ended.add(channel);
     }
   }
 
