--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -27,9 +27,10 @@
  * owns it.
  */
 public final class WorkerHost {
-  private static final long BUSY_WAIT_MS = 200;
-  private static final long IDLE_WAIT_MS = 350;
+  private static final long BUSY_WAIT_MS = 100;
+  private static final long IDLE_WAIT_MS = 300;
   private static final long SILENT_RETRY_MS = 100;
+  private static final int SILENT_AFTER_LOST_HOLDS = 2;
   private static final long QUICK_HOLD_MS = 2;
   private static final long STOP_RETRY_MS = 50;
   private static final long SHOW_PAUSE_MS = 60;
@@ -382,11 +383,13 @@
         raiseToken();
       }
       case HoldAnswer.Unanswered unanswered -> {
-        if (!life.silent) {
+        // One lost call says nothing of the worker; to wait for the next would hide its ends.
+        life.lostHolds++;
+        if (life.lostHolds == SILENT_AFTER_LOST_HOLDS) {
           note("workerSilent", "", life.id(), "runs=" + life.runs().size());
+          life.silent = true;
         }
-        life.silent = true;
-        life.holdDueAtMs = nowMs + SILENT_RETRY_MS;
+        life.holdDueAtMs = life.silent ? nowMs + SILENT_RETRY_MS : nowMs;
       }
       case HoldAnswer.Gone gone -> {
         endLife(life, "hold found it gone");
@@ -400,6 +403,7 @@
 
   private boolean takeList(WorkerLife life, HoldAnswer.Listed listed, long nowMs) {
     life.readClock(listed.workerClockMs(), nowMs);
+    life.lostHolds = 0;
     if (life.silent) {
       note("workerAnswers", "", life.id(), "");
       life.silent = false;
@@ -462,8 +466,10 @@
     life.holdOpen = true;
     life.holdSentAtMs = nowMs;
     long waitMs = life.silent ? 0 : life.hasRuns() ? BUSY_WAIT_MS : IDLE_WAIT_MS;
-    // A silent worker's lease is left to end, so that its runs are over at a known time.
-    long deadlineMs = life.silent || !life.hasRuns() ? 0 : life.grantLease(nowMs);
+    // The lease of a worker that may be lost is left to end, so that its runs are over at a known
+    // time.
+    boolean renews = life.lostHolds == 0 && life.hasRuns();
+    long deadlineMs = renews ? life.grantLease(nowMs) : 0;
     effects.add(
         new HostEffect.CallHold(
             life.id(), life.info().address(), deadlineMs, token, life.lastSeen, waitMs));
--- a/core/src/main/java/io/hingehoist/run/WorkerLife.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerLife.java
@@ -35,6 +35,7 @@
   boolean holdOpen;
   long holdSentAtMs;
   long holdDueAtMs;
+  int lostHolds;
 
   WorkerLife(WorkerInfo info, RunTiming timing, long nowMs) {
     this.info = info;
--- a/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
+++ b/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
@@ -216,14 +216,30 @@
     assertEquals(all(HostEffect.CallStart.class).size(), 1);
   }
 
+  @Test
+  public void oneLostCallDoesNotMakeAWorkerSilent() {
+    WorkerHost host = hostWithOwner(1_000);
+    order(host, 1_000, run(0, 1));
+    host.holdAnswered("w1", new HoldAnswer.Unanswered(), 1_200);
+    settle(host, 1_200);
+    assertEquals(all(HostEffect.CallHold.class).size(), 1);
+    order(host, 1_210, run(1, 1));
+    assertEquals(all(HostEffect.CallStart.class).size(), 1);
+    host.holdAnswered("w1", new HoldAnswer.Unanswered(), 1_400);
+    settle(host, 1_400);
+    assertEquals(told(HostRows.class).getFirst().workers().getFirst().state(), WorkerState.SILENT);
+  }
+
   @Test
   public void runsOfASilentWorkerAreLostOnceItsLeaseIsOver() {
     WorkerHost host = hostWithOwner(1_000);
     order(host, 1_000, run(0, 1));
     host.startAnswered("w1", run(0, 1), new StartAnswer.Started(501_000), 1_002);
     host.holdAnswered("w1", new HoldAnswer.Unanswered(), 1_400);
+    host.holdAnswered("w1", new HoldAnswer.Unanswered(), 1_600);
     host.ownerBeat(SESSION, 9_000, 1_400);
-    settle(host, 1_400);
+    settle(host, 1_600);
+    // The call after a lost one renews no lease, so the start was the last that did.
     host.onTick(1_000 + QUIET_MS - 1);
     settle(host, 1_000 + QUIET_MS - 1);
     assertEquals(told(RunEnded.class), List.of());
@@ -236,7 +252,9 @@
   public void aSilentWorkersLeaseIsNotRenewed() {
     WorkerHost host = hostWithOwner(1_000);
     order(host, 1_000, run(0, 1));
+    host.holdAnswered("w1", new HoldAnswer.Unanswered(), 1_200);
     host.holdAnswered("w1", new HoldAnswer.Unanswered(), 1_400);
+    settle(host, 1_400);
     host.onTick(1_500);
     settle(host, 1_500);
     assertEquals(all(HostEffect.CallHold.class).getFirst().deadlineMs(), 0);
