One look at the workers for each need in a pass over the tasks that wait

Cause: with many tasks waiting each pass looked through all workers for up to 64 tasks, each time with the speed of each worker computed anew; at 70 workers and 0.36 of a core that is most of an owner's time. Room only shrinks during a pass, so what fits nowhere is not looked for again. The line runOver now has the time that the run took (its worker's use of room can be read off logs).

--- a/core/src/main/java/io/hingehoist/run/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/JobOwner.java
@@ -338,7 +338,7 @@
     }
     speeds.noteOverdue(task.workerId, ranMs, task.plan().estimateMs(), nowMs);
     boolean slow = view(task).map(worker -> choice.isSlow(worker, nowMs)).orElse(false);
-    if (slow && !task.stopSent && choice.choose(task, hosts.values(), nowMs).isPresent()) {
+    if (slow && !task.stopSent && newPass(nowMs).choose(task).isPresent()) {
       note("runMoved", task.job.plan.jobId(), task.name, task.workerId, "ranMs=" + ranMs);
       task.avoidedWorkerId = task.workerId;
       stop(task);
@@ -347,13 +347,21 @@
 
   /** Orders runs for the tasks that wait, best priority first, as far as there is room. */
   public void place(long nowMs) {
+    if (waiting.size() == 0) {
+      return;
+    }
     OrderBatch batch = new OrderBatch();
-    waiting.offer(task -> order(task, batch, nowMs));
+    PlacementPass pass = newPass(nowMs);
+    waiting.offer(task -> order(task, pass, batch, nowMs));
     batch.emit((hostId, order) -> effects.add(new OwnerEffect.ToHost(hostId, order)));
   }
 
-  private boolean order(OwnedTask task, OrderBatch batch, long nowMs) {
-    Optional<WorkerView> chosen = choice.choose(task, hosts.values(), nowMs);
+  private PlacementPass newPass(long nowMs) {
+    return new PlacementPass(choice, hosts.values(), nowMs);
+  }
+
+  private boolean order(OwnedTask task, PlacementPass pass, OrderBatch batch, long nowMs) {
+    Optional<WorkerView> chosen = pass.choose(task);
     if (chosen.isEmpty()) {
       return false;
     }
--- a/core/src/main/java/io/hingehoist/run/SpeedTable.java
+++ b/core/src/main/java/io/hingehoist/run/SpeedTable.java
@@ -18,6 +18,11 @@
   private static final class Speed {
     private double ratio;
     private long atMs;
+
+    /** What is left of the ratio at a moment: a pass over the tasks that wait asks many times. */
+    private double fadedRatio;
+
+    private long fadedAtMs = -1;
   }
 
   private final Map<String, Speed> byWorker = new HashMap<>();
@@ -48,6 +53,7 @@
     Speed speed = byWorker.computeIfAbsent(workerId, id -> new Speed());
     speed.ratio = faded(speed, nowMs);
     speed.atMs = nowMs;
+    speed.fadedAtMs = -1;
     return speed;
   }
 
@@ -55,8 +61,12 @@
     if (speed.atMs == 0) {
       return 1;
     }
-    double left = Math.pow(0.5, (nowMs - speed.atMs) / HALF_LIFE_MS);
-    return 1 + (speed.ratio - 1) * left;
+    if (speed.fadedAtMs != nowMs) {
+      double left = Math.pow(0.5, (nowMs - speed.atMs) / HALF_LIFE_MS);
+      speed.fadedRatio = 1 + (speed.ratio - 1) * left;
+      speed.fadedAtMs = nowMs;
+    }
+    return speed.fadedRatio;
   }
 
   /** Returns how many times as long as usual a worker takes; 1 for one that nothing is known of. */
--- a/core/src/main/java/io/hingehoist/run/WorkerChoice.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerChoice.java
@@ -25,9 +25,13 @@
     this.speeds = speeds;
   }
 
-  /** Returns the best worker for a task now; empty if none has room. */
-  Optional<WorkerView> choose(OwnedTask task, Collection<HostView> hosts, long nowMs) {
-    boolean leavesOut = mayLeaveOut(task, hosts, nowMs);
+  /**
+   * Returns the best worker for a task now; empty if none has room.
+   *
+   * @param leavesOut whether slow and failing workers are left out
+   */
+  Optional<WorkerView> choose(
+      OwnedTask task, Collection<HostView> hosts, boolean leavesOut, long nowMs) {
     WorkerView best = null;
     double bestScore = Double.NEGATIVE_INFINITY;
     for (HostView host : hosts) {
@@ -44,12 +48,13 @@
     return Optional.ofNullable(best);
   }
 
-  private boolean mayLeaveOut(OwnedTask task, Collection<HostView> hosts, long nowMs) {
+  /** Returns whether so few workers of a service are unwell that the others can do its work. */
+  boolean mayLeaveOut(String service, Collection<HostView> hosts, long nowMs) {
     int all = 0;
     int unwell = 0;
     for (HostView host : hosts) {
       for (WorkerView worker : host.workers()) {
-        if (worker.row().service().equals(task.job.plan.service())) {
+        if (worker.row().service().equals(service)) {
           all++;
           if (worker.isFailing() || isSlow(worker, nowMs)) {
             unwell++;
@@ -70,17 +75,17 @@
     if (!takes || !worker.row().service().equals(task.job.plan.service())) {
       return false;
     }
-    if (!step.requires().isEmpty() && !worker.row().labels().contains(step.requires())) {
+    if (!Rooms.fits(step.need(), worker.free())) {
       return false;
     }
-    if (leavesOut && (isSlow(worker, nowMs) || isBusyOnTrial(worker, nowMs))) {
+    if (!step.requires().isEmpty() && !worker.row().labels().contains(step.requires())) {
       return false;
     }
     if (step.mostPerWorker() > 0
         && task.job.countOn(worker.row().workerId(), task.step) >= step.mostPerWorker()) {
       return false;
     }
-    return Rooms.fits(step.need(), worker.free());
+    return !leavesOut || !(isSlow(worker, nowMs) || isBusyOnTrial(worker, nowMs));
   }
 
   /** A worker that was slow a moment ago gets one run at a time of this owner until it is well. */
--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -455,7 +455,8 @@
   private void over(WorkerLife life, HostedRun run, RunEnd how, long nowMs) {
     life.remove(run);
     long ranMs = Math.max(0, nowMs - run.orderedAtMs);
-    note("runOver", run.run.task(), life.id(), "run=" + run.run.number() + " end=" + how);
+    String outcome = "run=" + run.run.number() + " end=" + how + " ms=" + ranMs;
+    note("runOver", run.run.task(), life.id(), outcome);
     send(run.sessionId, new RunEnded(run.run, how, ranMs));
   }
 
