A first beat that was held up renews no lease

The difference is now taken from the start of the connection, which the first beat can't come before. WorkerHostTest: one test took a first beat 400 ms late for a fresh one; it sends one at the start too.

--- a/core/src/main/java/io/hingehoist/run/LeaseClock.java
+++ b/core/src/main/java/io/hingehoist/run/LeaseClock.java
@@ -4,21 +4,29 @@
  * Counts the lease of a peer from the moment at which the peer sent its last beat, by the peer's
  * own steady clock, so that a beat that was held up on its way renews nothing.
  *
- * <p>The difference of the two clocks is that of the beat that came fastest. Not thread-safe.
+ * <p>The two clocks are compared by the first beat. It was sent after the connection began, and no
+ * later than it came; the earlier of the two is taken, as the first beat may have been held up as
+ * well. A lease so ends too early by the time that the first beat took, never too late. Not
+ * thread-safe.
  */
 final class LeaseClock {
   private final long leaseMs;
-  private long smallestDelayMs = Long.MAX_VALUE;
+  private final long beganAtMs;
+  private boolean compared;
+  private long differenceMs;
   private long untilMs;
 
-  LeaseClock(long leaseMs, long nowMs) {
+  LeaseClock(long leaseMs, long beganAtMs) {
     this.leaseMs = leaseMs;
-    this.untilMs = nowMs + leaseMs;
+    this.beganAtMs = beganAtMs;
+    this.untilMs = beganAtMs + leaseMs;
   }
 
   void onBeat(long sentAtMs, long nowMs) {
-    smallestDelayMs = Math.min(smallestDelayMs, nowMs - sentAtMs);
-    untilMs = Math.max(untilMs, sentAtMs + smallestDelayMs + leaseMs);
+    long latestDifferenceMs = nowMs - sentAtMs;
+    differenceMs = compared ? Math.min(differenceMs, latestDifferenceMs) : beganAtMs - sentAtMs;
+    compared = true;
+    untilMs = Math.max(untilMs, sentAtMs + differenceMs + leaseMs);
   }
 
   boolean isOver(long nowMs) {
--- a/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
+++ b/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
@@ -237,6 +237,7 @@
     host.startAnswered("w1", run(0, 1), new StartAnswer.Started(501_000), 1_002);
     host.holdAnswered("w1", new HoldAnswer.Unanswered(), 1_400);
     host.holdAnswered("w1", new HoldAnswer.Unanswered(), 1_600);
+    host.ownerBeat(SESSION, 8_600, 1_000);
     host.ownerBeat(SESSION, 9_000, 1_400);
     settle(host, 1_600);
     // The call after a lost one renews no lease, so the start was the last that did.
