The first list of a worker is asked for without a wait

Cause: until a list shows what is there a host orders no run, and the first call for it waited 300 ms for an end that could not come.

--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -414,6 +414,7 @@
 
   private boolean takeList(WorkerLife life, HoldAnswer.Listed listed, long nowMs) {
     life.readClock(listed.workerClockMs(), nowMs);
+    life.listed = true;
     life.lostHolds = 0;
     if (life.silent) {
       note("workerAnswers", "", life.id(), "");
@@ -509,7 +510,7 @@
     }
     life.holdOpen = true;
     life.holdSentAtMs = nowMs;
-    long waitMs = life.silent ? 0 : life.hasRuns() ? BUSY_WAIT_MS : IDLE_WAIT_MS;
+    long waitMs = waitMs(life);
     // The lease of a worker that may be lost is left to end, so that its runs are over at a known
     // time.
     boolean renews = life.lostHolds == 0 && life.hasRuns();
@@ -519,6 +520,14 @@
             life.id(), life.info().address(), deadlineMs, token, life.lastSeen, waitMs));
   }
 
+  /** Until a list shows what is there no run is ordered, so none waits for the first one. */
+  private static long waitMs(WorkerLife life) {
+    if (life.silent || !life.listed) {
+      return 0;
+    }
+    return life.hasRuns() ? BUSY_WAIT_MS : IDLE_WAIT_MS;
+  }
+
   // Time and rows.
 
   /** Does what the time has made due. */
--- a/core/src/main/java/io/hingehoist/run/WorkerLife.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerLife.java
@@ -33,6 +33,9 @@
   /** Whether runs may be there that this host did not order: no room is given out meanwhile. */
   boolean hasStrangers = true;
 
+  /** Whether a list of this life has come. */
+  boolean listed;
+
   boolean holdOpen;
   long holdSentAtMs;
   long holdDueAtMs;
--- a/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
+++ b/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
@@ -325,4 +325,14 @@
     list(host, 1_100, List.of(), new HoldAnswer.Ended(1, run(0, 1), RunEnd.DONE));
     assertTrue(host.isIdle());
   }
+
+  @Test
+  public void theFirstListOfAWorkerIsAskedForWithoutAWait() {
+    WorkerHost host = WorkerHost.create("h", 1, "z", TIMING, 100, 1_000 - QUIET_MS);
+    host.workerSeen(worker("w1", false, 1), 1_000);
+    settle(host, 1_000);
+    assertEquals(all(HostEffect.CallHold.class).getFirst().waitMs(), 0);
+    list(host, 1_002, List.of());
+    assertTrue(all(HostEffect.CallHold.class).getFirst().waitMs() > 0);
+  }
 }
