--- a/core/src/main/java/io/hingehoist/run/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/JobOwner.java
@@ -365,7 +365,7 @@
 
   /** Hosts give freed room to the owner whose work comes first, so they hear what waits. */
   private void tellWaiting(long nowMs) {
-    if (report.isDue(waiting.rows(nowMs), hosts.size(), nowMs)) {
+    if (report.isRested(hosts.size(), nowMs) && report.isNews(waiting.rows(nowMs), nowMs)) {
       OwnerWaiting news = report.last();
       hosts.keySet().forEach(hostId -> effects.add(new OwnerEffect.ToHost(hostId, news)));
     }
--- a/core/src/main/java/io/hingehoist/run/WaitingReport.java
+++ b/core/src/main/java/io/hingehoist/run/WaitingReport.java
@@ -17,10 +17,14 @@
   private List<WaitingRow> told = List.of();
   private long toldAtMs = -MIN_PAUSE_MS;
 
+  /** Returns whether the pause since hosts were told last is over. */
+  boolean isRested(int hostCount, long nowMs) {
+    return nowMs - toldAtMs >= Math.max(MIN_PAUSE_MS, hostCount * PAUSE_PER_HOST_MS);
+  }
+
   /** Returns whether hosts are to be told, and takes it that they are. */
-  boolean isDue(List<WaitingRow> rows, int hostCount, long nowMs) {
-    long pauseMs = Math.max(MIN_PAUSE_MS, hostCount * PAUSE_PER_HOST_MS);
-    if (nowMs - toldAtMs < pauseMs || isSame(rows, told)) {
+  boolean isNews(List<WaitingRow> rows, long nowMs) {
+    if (isSame(rows, told)) {
       return false;
     }
     told = List.copyOf(rows);
--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -1,6 +1,7 @@
 package io.hingehoist.run;
 
 import io.hingehoist.message.HostRows;
+import io.hingehoist.message.Message;
 import io.hingehoist.message.OwnerWaiting;
 import io.hingehoist.message.Room;
 import io.hingehoist.message.RunEnd;
@@ -13,7 +14,6 @@
 import io.hingehoist.message.WorkerRow;
 import io.hingehoist.message.WorkerState;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,7 +35,6 @@
   private static final int SILENT_AFTER_LOST_HOLDS = 2;
   private static final long QUICK_HOLD_MS = 2;
   private static final long STOP_RETRY_MS = 50;
-  private static final long SHOW_PAUSE_MS = 60;
 
   private static final long FIRST_TOKEN_JUMP = 1_000;
 
@@ -45,11 +44,9 @@
   private final RunTiming timing;
   private final long quietAtMs;
   private final Map<String, WorkerLife> lives = new LinkedHashMap<>();
-  private final Map<Long, OwnerSession> sessions = new LinkedHashMap<>();
-  private final Map<Long, String> endedSessions = new HashMap<>();
+  private final OwnerSessions sessions = new OwnerSessions();
   private final List<HostEffect> effects = new ArrayList<>();
-  private List<WorkerRow> shownRows = List.of();
-  private long shownAtMs;
+  private final ShownRows shownRows = new ShownRows();
   private long token;
   private long tokenJump = FIRST_TOKEN_JUMP;
   private boolean stopping;
@@ -141,15 +138,10 @@
 
   /** Notes a connection of an owner, and tells it when every run of its earlier ones is over. */
   public void sessionBegan(long sessionId, String ownerId, long nowMs) {
-    for (OwnerSession former : List.copyOf(sessions.values())) {
-      if (former.ownerId.equals(ownerId)) {
-        effects.add(new HostEffect.CloseSession(former.id));
-        sessionEnded(former.id, "replaced", nowMs);
-      }
-    }
+    sessions.ofOwner(ownerId).ifPresent(former -> closeSession(former, "replaced", nowMs));
     LeaseClock lease = new LeaseClock(timing.ownerLeaseMs(), nowMs);
     OwnerSession session = new OwnerSession(sessionId, ownerId, lease);
-    sessions.put(sessionId, session);
+    sessions.add(session);
     note("ownerFound", "", ownerId, "session=" + sessionId);
     session.formerRunsOver = isOverBefore(session, nowMs);
     send(sessionId, opened(session));
@@ -161,7 +153,7 @@
   }
 
   private void tellOfFormerRuns(long nowMs) {
-    for (OwnerSession session : sessions.values()) {
+    for (OwnerSession session : sessions.all()) {
       if (!session.formerRunsOver && isOverBefore(session, nowMs)) {
         session.formerRunsOver = true;
         send(session.id, opened(session));
@@ -176,41 +168,41 @@
   private boolean hasEarlierRuns(OwnerSession session) {
     return lives.values().stream()
         .flatMap(life -> life.runs().stream())
-        .anyMatch(
-            run ->
-                run.sessionId != session.id
-                    && session.ownerId.equals(endedSessions.get(run.sessionId)));
+        .anyMatch(run -> sessions.isFormer(run.sessionId, session));
   }
 
   /** Renews an owner's lease and shows it the workers. */
   public void ownerBeat(long sessionId, long sentAtMs, long nowMs) {
-    OwnerSession session = sessions.get(sessionId);
-    if (session != null) {
-      session.lease.onBeat(sentAtMs, nowMs);
-      showRows(session, nowMs);
-    }
+    sessions
+        .find(sessionId)
+        .ifPresent(
+            session -> {
+              session.lease.onBeat(sentAtMs, nowMs);
+              showRows(session, nowMs);
+            });
   }
 
   /** Takes an owner's word of what waits there for room. */
   public void ownerWaiting(long sessionId, OwnerWaiting news, long nowMs) {
-    OwnerSession session = sessions.get(sessionId);
-    if (session != null) {
-      session.takeWaiting(news.rows(), nowMs);
-    }
+    sessions.find(sessionId).ifPresent(session -> session.takeWaiting(news.rows(), nowMs));
   }
 
   /** Notes the end of a connection; the owner's runs are stopped. */
   public void sessionEnded(long sessionId, String reason, long nowMs) {
-    OwnerSession session = sessions.remove(sessionId);
-    if (session == null) {
-      return;
-    }
-    endedSessions.put(sessionId, session.ownerId);
-    lives.values().forEach(life -> life.offers.forget(sessionId));
+    sessions.end(sessionId).ifPresent(session -> dropOwner(session, reason, nowMs));
+  }
+
+  private void closeSession(OwnerSession session, String reason, long nowMs) {
+    effects.add(new HostEffect.CloseSession(session.id));
+    sessionEnded(session.id, reason, nowMs);
+  }
+
+  private void dropOwner(OwnerSession session, String reason, long nowMs) {
     note("ownerLost", "", session.ownerId, "reason=" + reason);
     for (WorkerLife life : lives.values()) {
+      life.offers.forget(session.id);
       for (HostedRun run : life.runs()) {
-        if (run.sessionId == sessionId) {
+        if (run.sessionId == session.id) {
           stop(life, run, nowMs);
         }
       }
@@ -219,14 +211,14 @@
 
   /** Starts the runs of an order, as far as they may start. */
   public void startRuns(long sessionId, StartRuns order, long nowMs) {
-    OwnerSession session = sessions.get(sessionId);
-    if (session == null) {
-      return;
-    }
+    sessions.find(sessionId).ifPresent(session -> startRuns(session, order, nowMs));
+  }
+
+  private void startRuns(OwnerSession session, StartRuns order, long nowMs) {
     session.lastOrder = Math.max(session.lastOrder, order.order());
     if (session.lease.isOver(nowMs)) {
       // A beat that is on its way may yet renew the lease, so the owner must hear of each run.
-      order.runs().forEach(run -> refuse(sessionId, run, order.workerId(), RunRefusal.NOT_READY));
+      order.runs().forEach(run -> refuse(session.id, run, order.workerId(), RunRefusal.NOT_READY));
       return;
     }
     for (RunRef run : order.runs()) {
@@ -456,9 +448,8 @@
   /** Keeps freed room for the owner whose work comes first, if any waits. */
   private void offer(WorkerLife life, Room room, long nowMs) {
     String service = life.info().service();
-    sessions.values().stream()
-        .filter(session -> session.waitsFor(service))
-        .min(OwnerSession.byUrgency(service))
+    sessions
+        .firstToServe(service)
         .ifPresent(
             session -> {
               session.noteOffered(service);
@@ -469,10 +460,9 @@
   /** Offers room again that an owner made no use of. */
   private void offerUnused(WorkerLife life, long nowMs) {
     for (RoomOffers.Unused unused : life.offers.takeUnused(nowMs)) {
-      OwnerSession session = sessions.get(unused.sessionId());
-      if (session != null) {
-        session.forgetWaiting(life.info().service());
-      }
+      sessions
+          .find(unused.sessionId())
+          .ifPresent(session -> session.forgetWaiting(life.info().service()));
       offer(life, unused.room(), nowMs);
     }
   }
@@ -532,16 +522,15 @@
 
   /** Does what the time has made due. */
   public void onTick(long nowMs) {
-    for (OwnerSession session : List.copyOf(sessions.values())) {
+    for (OwnerSession session : sessions.all()) {
       if (session.lease.isOver(nowMs)) {
-        effects.add(new HostEffect.CloseSession(session.id));
-        sessionEnded(session.id, "lease over", nowMs);
+        closeSession(session, "lease over", nowMs);
       }
     }
     for (WorkerLife life : List.copyOf(lives.values())) {
       tick(life, nowMs);
     }
-    endedSessions.keySet().removeIf(id -> !hasRunsOf(id));
+    sessions.forgetEnded(this::hasRunsOf);
     tellOfFormerRuns(nowMs);
   }
 
@@ -592,14 +581,8 @@
    */
   public void showRows(long nowMs) {
     lives.values().forEach(life -> offerUnused(life, nowMs));
-    List<WorkerRow> rows = rows(nowMs);
-    boolean changed = !rows.equals(shownRows);
-    boolean showsAll = changed && (nowMs - shownAtMs >= SHOW_PAUSE_MS || isUrgent(rows));
-    if (showsAll) {
-      shownRows = rows;
-      shownAtMs = nowMs;
-    }
-    for (OwnerSession session : sessions.values()) {
+    boolean showsAll = shownRows.isDue(rows(nowMs), nowMs);
+    for (OwnerSession session : sessions.all()) {
       if (showsAll || session.rowsDue) {
         showRows(session, nowMs);
       }
@@ -615,27 +598,12 @@
     send(session.id, new HostRows(session.lastOrder, rows));
   }
 
-  /** Owners must not use a worker that takes nothing, and wait for one that does. */
-  private boolean isUrgent(List<WorkerRow> rows) {
-    if (rows.size() != shownRows.size()) {
-      return true;
-    }
-    for (int i = 0; i < rows.size(); i++) {
-      WorkerRow shown = shownRows.get(i);
-      WorkerRow row = rows.get(i);
-      if (row.state() != shown.state() || !row.workerId().equals(shown.workerId())) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private List<WorkerRow> rows(long nowMs) {
     return lives.values().stream().map(life -> life.toRow(life.free(), stopping, nowMs)).toList();
   }
 
-  private void send(long sessionId, io.hingehoist.message.Message message) {
-    if (sessions.containsKey(sessionId)) {
+  private void send(long sessionId, Message message) {
+    if (sessions.isOpen(sessionId)) {
       effects.add(new HostEffect.ToOwner(sessionId, message));
     }
   }
