--- a/scenarios/src/test/java/io/hingehoist/scenario/Answered.java
+++ b/scenarios/src/test/java/io/hingehoist/scenario/Answered.java
@@ -1,6 +1,7 @@
 package io.hingehoist.scenario;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
 
 /**
  * An answer as a caller saw it.
@@ -13,6 +14,17 @@
     return body.path("outcome").asText();
   }
 
+  /** Returns whether nothing ran because the entry had no lease just then. */
+  boolean lacksLease() {
+    String cause = body.path("cause").asText();
+    return outcome().equals("refused") && List.of("NO_LEASE", "ENTRY_NOT_LIVE").contains(cause);
+  }
+
+  /** Returns whether a caller is to come back under the same id. */
+  boolean asksToComeBack() {
+    return lacksLease() || outcome().equals("unknown");
+  }
+
   boolean isFinal() {
     return outcome().equals("complete") || outcome().equals("failed");
   }
