Scenario: a drain is in force for everyone once the agent says so

The step "is DRAINING for everyone" read the member table of the log only. The agent and the entries hear of a change with their next heartbeat (up to 500 and 250 ms later), which the product promises (docs/API.md: a few seconds), so a job that is submitted in between may start. Ruled out: a start after the agent had said that it drains (TaskLedger refuses at once by its own knowledge).

Change: the step also waits until the agent's own log says that it takes nothing new. What it then proves is the same, that no task starts, for every scenario with a drain.

--- a/scenarios/src/test/java/io/hingehoist/scenario/ClusterSteps.java
+++ b/scenarios/src/test/java/io/hingehoist/scenario/ClusterSteps.java
@@ -12,6 +12,7 @@
 import io.hingehoist.cluster.NodeProcess;
 import io.hingehoist.standin.Relay;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -172,7 +173,24 @@
   }
 
   @Then("^(agent-\\d|server-\\d) is (LIVE|DRAINING|GONE) for everyone$")
-  public void awaitMember(String member, String state) {
+  public void awaitMemberForEveryone(String member, String state) {
+    awaitMember(member, state);
+    if (state.equals("DRAINING")) {
+      // The log knows it before the agent does, whose next heartbeat brings it.
+      LocalCluster.await(member + " takes no new work", () -> saysThatItDrains(member));
+    }
+  }
+
+  private boolean saysThatItDrains(String agent) {
+    try {
+      String output = process(agent).output();
+      return output.lastIndexOf("event=draining ") > output.lastIndexOf("event=takingWork ");
+    } catch (IOException e) {
+      throw new UncheckedIOException("the output of " + agent + " can't be read", e);
+    }
+  }
+
+  private void awaitMember(String member, String state) {
     LocalCluster.await(
         member + " is " + state,
         () -> {
