Records that are compared at a start have methods of their own

Cause: equals and hashCode of a record are linked at their first call by a bootstrap that spins five to ten hidden classes, some 15 ms on a cold process: Peer, WorkerRow, Room, RunRef and the key of an order, all met in the first moments of a start, when jobs wait.

--- a/core/src/main/java/io/hingehoist/run/OrderBatch.java
+++ b/core/src/main/java/io/hingehoist/run/OrderBatch.java
@@ -10,7 +10,24 @@
 
 /** Gathers the runs of one pass, so that those of one step on one worker go out as one order. */
 final class OrderBatch {
-  private record Key(String workerId, OwnedJob job, int step) {}
+  private record Key(String workerId, OwnedJob job, int step) {
+
+    // The methods that the compiler would make are linked at their first call, which takes a
+    // starting owner 15 ms while its first jobs wait.
+
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Key that
+          && workerId.equals(that.workerId)
+          && job == that.job
+          && step == that.step;
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * (31 * workerId.hashCode() + Long.hashCode(job.number)) + step;
+    }
+  }
 
   private static final class Group {
     private final HostView host;
--- a/core/src/main/java/io/hingehoist/run/WaitingTasks.java
+++ b/core/src/main/java/io/hingehoist/run/WaitingTasks.java
@@ -2,7 +2,6 @@
 
 import io.hingehoist.message.WaitingRow;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,13 +24,17 @@
   /** Of the expected time, what a task must have left to be in time: estimates are rough. */
   private static final double LATE_MARGIN = 0.7;
 
-  private static final Comparator<OwnedTask> ORDER =
-      Comparator.<OwnedTask>comparingInt(task -> task.job.plan.priority())
-          .thenComparingLong(task -> task.job.number)
-          .thenComparing(task -> task.name);
+  private final TreeSet<OwnedTask> inTime = new TreeSet<>(WaitingTasks::inOrder);
+  private final TreeSet<OwnedTask> late = new TreeSet<>(WaitingTasks::inOrder);
 
-  private final TreeSet<OwnedTask> inTime = new TreeSet<>(ORDER);
-  private final TreeSet<OwnedTask> late = new TreeSet<>(ORDER);
+  private static int inOrder(OwnedTask a, OwnedTask b) {
+    int byPriority = Integer.compare(a.job.plan.priority(), b.job.plan.priority());
+    if (byPriority != 0) {
+      return byPriority;
+    }
+    int byArrival = Long.compare(a.job.number, b.job.number);
+    return byArrival != 0 ? byArrival : a.name.compareTo(b.name);
+  }
 
   void add(OwnedTask task) {
     inTime.add(task);
