Jobs that are not begun by 1.2 times their objective are refused

Cause: under more load than room, a job without any start was held until its answer was worth nothing (three times the objective), then refused: its caller had lost that time.

--- a/core/src/main/java/io/hingehoist/run/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/JobOwner.java
@@ -43,6 +43,13 @@
 
   private static final long PATIENCE_WITHOUT_WORKERS_MS = 2_000;
 
+  /**
+   * Of the time after which an answer is worth nothing, how long a job waits for its first start:
+   * 1.2 times its objective. What was not begun by then hardly ever earns anything afterwards, and
+   * a caller that is refused late has lost the time to go elsewhere; docs/PLATFORM.md has figures.
+   */
+  private static final double UNBEGUN_SHARE = 0.4;
+
   private final RunTiming timing;
   private final SpeedTable speeds = new SpeedTable();
   private final WorkerChoice choice = new WorkerChoice(speeds);
@@ -325,7 +332,7 @@
     if (job.mayHaveStarted()) {
       return;
     }
-    if (nowMs - job.takenAtMs >= job.plan.worthlessAfterMs()) {
+    if (nowMs - job.takenAtMs >= UNBEGUN_SHARE * job.plan.worthlessAfterMs()) {
       end(job, new JobEnd.Refused("no room in time", RETRY_AFTER_MS));
     } else if (job.plan.worthlessAfterMs() < PATIENCE_WITHOUT_WORKERS_MS
         && nowMs - readyAtMs >= WITHOUT_WORKERS_MS) {
--- a/core/src/test/java/io/hingehoist/run/PlayedLoad.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedLoad.java
@@ -34,6 +34,7 @@
   private static final long WORKER_MS = 1;
   private static final long TICK_MS = 50;
   private static final double LATE_WORTH = 0.2;
+  private static final double EARLY_REFUSAL_PRICE = 0.14;
   private static final int LATE_FACTOR = 3;
   private static final RunTiming TIMING = RunTiming.of(1_300, 1_000, 50);
   private static final double ESTIMATE_SPREAD = 0.4;
@@ -172,6 +173,7 @@
   private final double[] earned = new double[KINDS.size()];
   private long sequence;
   private long refusals;
+  private double heldWorth;
   private long nowMs = 1;
   private int jobCount;
 
@@ -215,6 +217,15 @@
     return earned[priority] / owed[priority];
   }
 
+  /** Returns the share of the worth that refusals cost because they came late. */
+  double heldShare() {
+    double all = 0;
+    for (double worth : owed) {
+      all += worth;
+    }
+    return heldWorth / all;
+  }
+
   /** Returns the number of starts that were refused for want of room. */
   long refusals() {
     return refusals;
@@ -318,6 +329,9 @@
 
   private void answered(Caller caller, JobEnd end) {
     long ms = nowMs - caller.sentAtMs();
+    if (end instanceof JobEnd.Refused) {
+      heldWorth += heldPrice(caller, ms);
+    }
     if (!(end instanceof JobEnd.Completed) || ms > LATE_FACTOR * caller.objectiveMs()) {
       return;
     }
@@ -325,6 +339,16 @@
     earned[caller.kind().priority()] += share * worth(caller);
   }
 
+  /**
+   * What a refusal costs beyond the job: little if it comes early, all of it again if it is late.
+   */
+  private static double heldPrice(Caller caller, long ms) {
+    if (ms > LATE_FACTOR * caller.objectiveMs() / 2) {
+      return worth(caller);
+    }
+    return ms > caller.objectiveMs() / 4 ? EARLY_REFUSAL_PRICE * worth(caller) : 0;
+  }
+
   private void at(long atMs, Runnable action) {
     timeline.add(new Timed(atMs, ++sequence, action));
   }
--- a/core/src/test/java/io/hingehoist/run/PlayedLoadTest.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedLoadTest.java
@@ -26,4 +26,11 @@
     PlayedLoad load = PlayedLoad.play(1, 3, 11, 2.2, LENGTH_MS);
     assertTrue(load.earnedShareOf(0) > 0.75, "earned " + load.earnedShareOf(0));
   }
+
+  /** Unbegun jobs held until they are worth nothing: 0.138 of the worth at this load. */
+  @Test
+  public void whatCannotBeBegunInTimeIsRefusedEarly() {
+    PlayedLoad load = PlayedLoad.play(1, 3, 11, 2.2, LENGTH_MS);
+    assertTrue(load.heldShare() < 0.06, "held " + load.heldShare());
+  }
 }
