Owners follow some hosts closely and hear the others with their heartbeats

Ruled out: owners short of their own processor time (0.17 of 0.36 cores); start-up alone (0.7 of some 6 s a process).

Change: an owner follows at most 24 hosts (setting owner.followedHosts), those of its zone first, else by a hash of both names. They get work first, show changes at once, and hear what waits; the others show theirs with each heartbeat and get what fits nowhere else, or what has its data there. What concerns whether a worker takes runs goes to all at once. A heartbeat is answered unless the workers were shown in the last 100 ms. With up to 24 hosts all are followed, so nothing but that last point changes on the deployments of today. bindAddress (owner, host): as control and agent have it.

Played orders (PlayedRunsTest) now follow 2 of 3 hosts, so that runs are ordered on older views too.

--- a/core/src/main/java/io/hingehoist/run/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/JobOwner.java
@@ -53,6 +53,7 @@
   private final RunTiming timing;
   private final SpeedTable speeds = new SpeedTable();
   private final WorkerChoice choice = new WorkerChoice(speeds);
+  private final FollowedHosts followed;
   private final Map<String, HostView> hosts = new LinkedHashMap<>();
   private final Map<String, OwnedJob> jobs = new LinkedHashMap<>();
   private final Map<String, OwnedTask> active = new HashMap<>();
@@ -62,13 +63,23 @@
   private long jobNumber;
   private long readyAtMs;
 
-  private JobOwner(RunTiming timing) {
+  private JobOwner(RunTiming timing, FollowedHosts followed) {
     this.timing = timing;
+    this.followed = followed;
   }
 
-  /** Creates an owner of no jobs. */
+  /** Creates an owner of no jobs that follows every host closely. */
   public static JobOwner create(RunTiming timing) {
-    return new JobOwner(timing);
+    return create(timing, "", "", Integer.MAX_VALUE);
+  }
+
+  /**
+   * Creates an owner of no jobs.
+   *
+   * @param followedHosts the number of hosts that get work first, those of its zone before others
+   */
+  public static JobOwner create(RunTiming timing, String ownerId, String zone, int followedHosts) {
+    return new JobOwner(timing, new FollowedHosts(ownerId, zone, followedHosts));
   }
 
   /** Returns what is to be done since the last call, in order. */
@@ -156,9 +167,10 @@
    *
    * @param formerRunsOver whether no run is going on that was ordered at the host before it
    */
-  public void sessionOpened(String hostId, long incarnation, boolean formerRunsOver) {
+  public void sessionOpened(String hostId, String zone, long incarnation, boolean formerRunsOver) {
     if (!hosts.containsKey(hostId)) {
       hosts.put(hostId, new HostView(hostId));
+      followed.add(hostId, zone);
       note("hostFound", "", "", hostId, "incarnation=" + incarnation);
       effects.add(new OwnerEffect.ToHost(hostId, report.last()));
     }
@@ -181,6 +193,7 @@
     if (hosts.remove(hostId) == null) {
       return;
     }
+    followed.remove(hostId);
     long overAfterMs = silent ? timing.overAfterSilenceMs() : timing.overAfterBreakMs();
     note("hostLost", "", "", hostId, "silent=" + silent + " runsOverAfterMs=" + overAfterMs);
     for (OwnedTask task : active.values()) {
@@ -191,6 +204,11 @@
     }
   }
 
+  /** Returns whether a host is to show each change at once, and not only with each heartbeat. */
+  public boolean follows(String hostId) {
+    return followed.contains(hostId);
+  }
+
   /** Takes what a host shows of its workers. */
   public void hostRows(String hostId, HostRows rows) {
     HostView host = hosts.get(hostId);
@@ -372,14 +390,23 @@
 
   /** Hosts give freed room to the owner whose work comes first, so they hear what waits. */
   private void tellWaiting(long nowMs) {
-    if (report.isRested(hosts.size(), nowMs) && report.isNews(waiting.rows(nowMs), nowMs)) {
+    if (report.isRested(followed.size(), nowMs) && report.isNews(waiting.rows(nowMs), nowMs)) {
       OwnerWaiting news = report.last();
-      hosts.keySet().forEach(hostId -> effects.add(new OwnerEffect.ToHost(hostId, news)));
+      for (String hostId : hosts.keySet()) {
+        if (followed.contains(hostId)) {
+          effects.add(new OwnerEffect.ToHost(hostId, news));
+        }
+      }
     }
   }
 
   private PlacementPass newPass(long nowMs) {
-    return new PlacementPass(choice, hosts.values(), nowMs);
+    List<HostView> near = new ArrayList<>();
+    List<HostView> rest = new ArrayList<>();
+    for (HostView host : hosts.values()) {
+      (followed.contains(host.hostId) ? near : rest).add(host);
+    }
+    return new PlacementPass(choice, near, rest, nowMs);
   }
 
   private boolean order(OwnedTask task, PlacementPass pass, OrderBatch batch, long nowMs) {
--- a/core/src/main/java/io/hingehoist/run/OwnerSession.java
+++ b/core/src/main/java/io/hingehoist/run/OwnerSession.java
@@ -30,6 +30,11 @@
   /** Whether the owner is to be shown the workers at once. */
   boolean rowsDue;
 
+  /** Whether the owner is shown changes as they come, or only in answer to its heartbeats. */
+  boolean follows = true;
+
+  long shownAtMs;
+
   OwnerSession(long id, String ownerId, LeaseClock lease) {
     this.id = id;
     this.ownerId = ownerId;
--- a/core/src/main/java/io/hingehoist/run/PlacementPass.java
+++ b/core/src/main/java/io/hingehoist/run/PlacementPass.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * One pass over the tasks that wait, at one moment.
@@ -26,14 +27,23 @@
   }
 
   private final WorkerChoice choice;
-  private final Collection<HostView> hosts;
+  private final Collection<HostView> followed;
+  private final Collection<HostView> all;
   private final long nowMs;
   private final Map<String, Boolean> leavesOutByService = new HashMap<>();
   private final List<Miss> misses = new ArrayList<>();
 
-  PlacementPass(WorkerChoice choice, Collection<HostView> hosts, long nowMs) {
+  /**
+   * Begins a pass.
+   *
+   * @param followed the hosts that get work first: what is known of them is newer
+   * @param rest the others, which get what fits nowhere else
+   */
+  PlacementPass(
+      WorkerChoice choice, Collection<HostView> followed, Collection<HostView> rest, long nowMs) {
     this.choice = choice;
-    this.hosts = hosts;
+    this.followed = followed;
+    this.all = rest.isEmpty() ? followed : Stream.concat(followed.stream(), rest.stream()).toList();
     this.nowMs = nowMs;
   }
 
@@ -42,16 +52,27 @@
     if (misses.stream().anyMatch(miss -> miss.covers(task))) {
       return Optional.empty();
     }
-    Optional<WorkerView> best = choice.choose(task, hosts, leavesOut(task), nowMs);
+    Optional<WorkerView> best = Optional.empty();
+    if (task.plan().near().isEmpty()) {
+      best = choice.choose(task, followed, leavesOut(task), nowMs);
+    }
+    if (best.isEmpty() && isWiderThanFollowed(task)) {
+      best = choice.choose(task, all, leavesOut(task), nowMs);
+    }
     if (best.isEmpty()) {
       noteMiss(task);
     }
     return best;
   }
 
+  /** The workers that hold a task's data may be anywhere, so all are looked at for it. */
+  private boolean isWiderThanFollowed(OwnedTask task) {
+    return all.size() > followed.size() || !task.plan().near().isEmpty();
+  }
+
   private boolean leavesOut(OwnedTask task) {
     return leavesOutByService.computeIfAbsent(
-        task.job.plan.service(), service -> choice.mayLeaveOut(service, hosts, nowMs));
+        task.job.plan.service(), service -> choice.mayLeaveOut(service, all, nowMs));
   }
 
   /** A task that may not share its worker with others of its step says nothing of other steps. */
--- a/core/src/main/java/io/hingehoist/run/ShownRows.java
+++ b/core/src/main/java/io/hingehoist/run/ShownRows.java
@@ -10,21 +10,32 @@
 final class ShownRows {
   private static final long PAUSE_MS = 60;
 
+  /** To whom rows are to be shown now. */
+  enum Due {
+    NOBODY,
+    FOLLOWERS,
+    ALL
+  }
+
   private List<WorkerRow> shown = List.of();
   private long shownAtMs;
 
   /**
-   * Returns whether rows are to be shown to all, and takes it that they are. What owners don't wait
-   * for is put off for a moment, so that several changes go out together.
+   * Returns to whom rows are to be shown, and takes it that they are. What owners don't wait for is
+   * put off for a moment, so that several changes go out together, and goes only to owners that
+   * follow this host; the others hear of it with their next heartbeat.
    */
-  boolean isDue(List<WorkerRow> rows, long nowMs) {
-    boolean changed = !rows.equals(shown);
-    if (!changed || (nowMs - shownAtMs < PAUSE_MS && !isUrgent(rows))) {
-      return false;
+  Due due(List<WorkerRow> rows, long nowMs) {
+    if (rows.equals(shown)) {
+      return Due.NOBODY;
+    }
+    boolean urgent = isUrgent(rows);
+    if (!urgent && nowMs - shownAtMs < PAUSE_MS) {
+      return Due.NOBODY;
     }
     shown = rows;
     shownAtMs = nowMs;
-    return true;
+    return urgent ? Due.ALL : Due.FOLLOWERS;
   }
 
   /** Owners must not use a worker that takes nothing, and wait for one that does. */
--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -36,6 +36,9 @@
   private static final long QUICK_HOLD_MS = 2;
   private static final long STOP_RETRY_MS = 50;
 
+  /** An owner that was shown the workers so lately knows that its host lives. */
+  private static final long SHOWN_LATELY_MS = 100;
+
   private static final long FIRST_TOKEN_JUMP = 1_000;
 
   private final String hostId;
@@ -171,14 +174,21 @@
         .anyMatch(run -> sessions.isFormer(run.sessionId, session));
   }
 
-  /** Renews an owner's lease and shows it the workers. */
-  public void ownerBeat(long sessionId, long sentAtMs, long nowMs) {
+  /**
+   * Renews an owner's lease, and answers with the workers unless they were shown a moment ago.
+   *
+   * @param follows whether the owner is to be shown changes as they come
+   */
+  public void ownerBeat(long sessionId, long sentAtMs, boolean follows, long nowMs) {
     sessions
         .find(sessionId)
         .ifPresent(
             session -> {
               session.lease.onBeat(sentAtMs, nowMs);
-              showRows(session, nowMs);
+              session.follows = follows;
+              if (!follows || nowMs - session.shownAtMs >= SHOWN_LATELY_MS) {
+                showRows(session, nowMs);
+              }
             });
   }
 
@@ -581,16 +591,25 @@
    */
   public void showRows(long nowMs) {
     lives.values().forEach(life -> offerUnused(life, nowMs));
-    boolean showsAll = shownRows.isDue(rows(nowMs), nowMs);
+    ShownRows.Due due = shownRows.due(rows(nowMs), nowMs);
     for (OwnerSession session : sessions.all()) {
-      if (showsAll || session.rowsDue) {
+      if (session.rowsDue || isMeant(session, due)) {
         showRows(session, nowMs);
       }
     }
   }
 
+  private static boolean isMeant(OwnerSession session, ShownRows.Due due) {
+    return switch (due) {
+      case NOBODY -> false;
+      case FOLLOWERS -> session.follows;
+      case ALL -> true;
+    };
+  }
+
   private void showRows(OwnerSession session, long nowMs) {
     session.rowsDue = false;
+    session.shownAtMs = nowMs;
     List<WorkerRow> rows =
         lives.values().stream()
             .map(life -> life.toRow(life.freeFor(session.id, nowMs), stopping, nowMs))
--- a/core/src/test/java/io/hingehoist/run/JobOwnerTest.java
+++ b/core/src/test/java/io/hingehoist/run/JobOwnerTest.java
@@ -43,7 +43,7 @@
   private JobOwner ownerWith(String... hosts) {
     JobOwner owner = JobOwner.create(TIMING);
     for (String host : hosts) {
-      owner.sessionOpened(host, 1, true);
+      owner.sessionOpened(host, "z", 1, true);
       show(owner, host, SMALL, 0);
     }
     settle(owner, 0);
@@ -188,7 +188,7 @@
     owner.submit(new JobPlan("j", "q", "s", "spec", 0, 2, 10_000, 30_000, List.of(step(1))), 0);
     settle(owner, 0);
     owner.sessionLost("h1", true, 100);
-    owner.sessionOpened("h2", 1, true);
+    owner.sessionOpened("h2", "z", 1, true);
     show(owner, "h2", SMALL, 0);
     owner.onTick(100 + TIMING.overAfterSilenceMs() - 1);
     settle(owner, 100 + TIMING.overAfterSilenceMs() - 1);
@@ -204,7 +204,7 @@
     owner.submit(plan("j", 0, 2, step(1)), 0);
     settle(owner, 0);
     owner.sessionLost("h1", false, 100);
-    owner.sessionOpened("h1", 2, true);
+    owner.sessionOpened("h1", "z", 2, true);
     show(owner, "h1", SMALL, 0);
     settle(owner, 200);
     assertEquals(started(), List.of(new RunRef("j.0.0", 2)));
@@ -302,9 +302,9 @@
     JobOwner owner = ownerWith("h1");
     owner.submit(plan("j", 0, 2, step(2)), 0);
     settle(owner, 0);
-    owner.sessionOpened("h2", 1, true);
+    owner.sessionOpened("h2", "z", 1, true);
     show(owner, "h2", SMALL, 0);
-    owner.sessionOpened("h3", 1, true);
+    owner.sessionOpened("h3", "z", 1, true);
     show(owner, "h3", SMALL, 0);
     long stopped = 0;
     for (long now = 25; now <= 400; now += 25) {
@@ -343,7 +343,7 @@
     JobOwner owner = ownerWith("h1");
     owner.submit(plan("j", 1, 2, step(3)), 100);
     settle(owner, 110);
-    owner.sessionOpened("h2", 1, true);
+    owner.sessionOpened("h2", "z", 1, true);
     settle(owner, 111);
     assertEquals(waitingTold().size(), 1);
   }
--- a/core/src/test/java/io/hingehoist/run/PlacementPassTest.java
+++ b/core/src/test/java/io/hingehoist/run/PlacementPassTest.java
@@ -43,15 +43,19 @@
   private CountedHosts hosts;
   private PlacementPass pass;
 
-  @BeforeMethod
-  public void open() {
-    HostView host = new HostView("h");
-    Room free = new Room(1_000, 1_000, 0);
+  private static HostView host(String id, String rack, Room free) {
+    HostView host = new HostView(id);
     WorkerRow row =
-        new WorkerRow("w", "s", "z", List.of("a", "r1"), CAPACITY, free, WorkerState.READY);
+        new WorkerRow(id + "-w", "s", "z", List.of("a", rack), CAPACITY, free, WorkerState.READY);
     host.update(new HostRows(0, List.of(row)));
+    return host;
+  }
+
+  @BeforeMethod
+  public void open() {
+    HostView host = host("h", "r1", new Room(1_000, 1_000, 0));
     hosts = new CountedHosts(List.of(host));
-    pass = new PlacementPass(new WorkerChoice(new SpeedTable()), hosts, 0);
+    pass = new PlacementPass(new WorkerChoice(new SpeedTable()), hosts, List.of(), 0);
   }
 
   private static OwnedTask task(String jobId, StepPlan step) {
@@ -92,8 +96,34 @@
     List<OwnedTask> tasks = new OwnedJob(plan, 0, 1).steps.getFirst();
     OwnedTask first = tasks.getFirst();
     first.state = OwnedTask.State.ORDERED;
-    first.workerId = "w";
+    first.workerId = "h-w";
     assertFalse(pass.choose(tasks.getLast()).isPresent());
     assertTrue(pass.choose(task("b", step(SMALL, "", 0))).isPresent());
   }
+
+  private static String chosen(PlacementPass pass, OwnedTask task) {
+    return pass.choose(task).orElseThrow().hostId;
+  }
+
+  @Test
+  public void hostsThatAreNotFollowedGetWhatFitsNowhereElse() {
+    HostView followed = host("followed", "r1", new Room(600, 1_000, 0));
+    HostView other = host("other", "r2", CAPACITY);
+    PlacementPass both =
+        new PlacementPass(new WorkerChoice(new SpeedTable()), List.of(followed), List.of(other), 0);
+
+    assertEquals(chosen(both, task("a", step(SMALL, "", 0))), "followed");
+    assertEquals(chosen(both, task("b", step(LARGE, "", 0))), "other");
+  }
+
+  @Test
+  public void aTaskGoesToItsDataWhoeverFollowsIt() {
+    HostView followed = host("followed", "r1", CAPACITY);
+    HostView other = host("other", "r2", CAPACITY);
+    PlacementPass both =
+        new PlacementPass(new WorkerChoice(new SpeedTable()), List.of(followed), List.of(other), 0);
+    StepPlan atItsData = new StepPlan(1, SMALL, 100, List.of(), "", "r2", 0);
+
+    assertEquals(chosen(both, task("a", atItsData)), "other");
+  }
 }
--- a/core/src/test/java/io/hingehoist/run/PlayedLoad.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedLoad.java
@@ -33,6 +33,7 @@
   private static final long LINK_MS = 1;
   private static final long WORKER_MS = 1;
   private static final long TICK_MS = 50;
+  private static final long BEAT_MS = 180;
   private static final double LATE_WORTH = 0.2;
   private static final double EARLY_REFUSAL_PRICE = 0.14;
   private static final int LATE_FACTOR = 3;
@@ -78,10 +79,15 @@
       settle();
     }
 
-    private void tick() {
+    private void beat() {
       for (int owner = 0; owner < owners.size(); owner++) {
-        decisions.ownerBeat(owner, nowMs, nowMs);
+        decisions.ownerBeat(owner, nowMs, owners.get(owner).follows(id), nowMs);
       }
+      settle();
+      after(BEAT_MS, this::beat);
+    }
+
+    private void tick() {
       decisions.onTick(nowMs);
       settle();
       after(TICK_MS, this::tick);
@@ -107,8 +113,12 @@
     private void arrive(int owner, HostEffect.ToOwner to) {
       JobOwner jobs = owners.get(owner);
       switch (to.message()) {
-        case SessionOpened opened -> jobs.sessionOpened(id, 1, opened.formerRunsOver());
-        case HostRows rows -> jobs.hostRows(id, rows);
+        case SessionOpened opened ->
+            jobs.sessionOpened(id, opened.zone(), 1, opened.formerRunsOver());
+        case HostRows rows -> {
+          rowsShown++;
+          jobs.hostRows(id, rows);
+        }
         case RunEnded end -> jobs.runEnded(id, end, nowMs);
         case RunNotStarted report -> {
           refusals++;
@@ -173,14 +183,15 @@
   private final double[] earned = new double[KINDS.size()];
   private long sequence;
   private long refusals;
+  private long rowsShown;
   private double heldWorth;
   private long nowMs = 1;
   private int jobCount;
 
-  private PlayedLoad(long seed, int ownerCount, int hostCount) {
+  private PlayedLoad(long seed, int ownerCount, int hostCount, int followedHosts) {
     this.random = new Random(seed);
     for (int i = 0; i < ownerCount; i++) {
-      owners.add(JobOwner.create(TIMING));
+      owners.add(JobOwner.create(TIMING, "o" + i, "z", followedHosts));
     }
     for (int i = 0; i < hostCount; i++) {
       long cpu = i % 3 == 2 ? 24_000 : 16_000;
@@ -196,7 +207,18 @@
    */
   static PlayedLoad play(
       long seed, int ownerCount, int hostCount, double loadFactor, long lengthMs) {
-    PlayedLoad load = new PlayedLoad(seed, ownerCount, hostCount);
+    return play(seed, ownerCount, hostCount, hostCount, loadFactor, lengthMs);
+  }
+
+  /** Plays a load on owners that follow some of the hosts closely. */
+  static PlayedLoad play(
+      long seed,
+      int ownerCount,
+      int hostCount,
+      int followedHosts,
+      double loadFactor,
+      long lengthMs) {
+    PlayedLoad load = new PlayedLoad(seed, ownerCount, hostCount, followedHosts);
     load.run(loadFactor, lengthMs);
     return load;
   }
@@ -226,6 +248,11 @@
     return heldWorth / all;
   }
 
+  /** Returns the number of messages in which hosts showed their workers. */
+  long rowsShown() {
+    return rowsShown;
+  }
+
   /** Returns the number of starts that were refused for want of room. */
   long refusals() {
     return refusals;
@@ -236,6 +263,7 @@
       for (int owner = 0; owner < owners.size(); owner++) {
         host.decisions.sessionBegan(owner, "o" + owner, nowMs);
       }
+      host.beat();
       host.tick();
     }
     for (int owner = 0; owner < owners.size(); owner++) {
--- a/core/src/test/java/io/hingehoist/run/PlayedRuns.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedRuns.java
@@ -33,17 +33,21 @@
   private static final long LATE_LIMIT_MS = 12_000;
   private static final Room NEED = new Room(1_600, 100, 0);
 
+  /** Fewer than there are hosts, so that runs are ordered on fresh and on older views. */
+  private static final int FOLLOWED_HOSTS = 2;
+
   private record Timed(long atMs, long sequence, Runnable action) {}
 
   final class OwnerBox {
     final String id;
-    JobOwner jobs = JobOwner.create(TIMING);
+    JobOwner jobs;
     final Map<String, Session> sessions = new HashMap<>();
     long standsUntilMs;
     long lastTickMs;
 
     OwnerBox(String id) {
       this.id = id;
+      this.jobs = newOwner(id);
     }
 
     boolean stands() {
@@ -261,7 +265,7 @@
         return;
       }
       switch (message) {
-        case OwnerBeat beat -> host.ownerBeat(id, beat.sentAtMs(), nowMs);
+        case OwnerBeat beat -> host.ownerBeat(id, beat.sentAtMs(), beat.follows(), nowMs);
         case OwnerWaiting news -> host.ownerWaiting(id, news, nowMs);
         case StartRuns order -> host.startRuns(id, order, nowMs);
         case StopRun order -> host.stopRun(id, order.run(), nowMs);
@@ -277,7 +281,8 @@
       heardByOwnerMs = nowMs;
       switch (message) {
         case SessionOpened opened ->
-            owner.jobs.sessionOpened(box.id, opened.hostIncarnation(), opened.formerRunsOver());
+            owner.jobs.sessionOpened(
+                box.id, opened.zone(), opened.hostIncarnation(), opened.formerRunsOver());
         case HostRows rows -> owner.jobs.hostRows(box.id, rows);
         case RunEnded ended -> owner.jobs.runEnded(box.id, ended, nowMs);
         case RunNotStarted report -> owner.jobs.runNotStarted(box.id, report, nowMs);
@@ -455,13 +460,17 @@
     }
   }
 
+  private static JobOwner newOwner(String id) {
+    return JobOwner.create(TIMING, id, "z", FOLLOWED_HOSTS);
+  }
+
   private void standStill(OwnerBox owner) {
     owner.standsUntilMs = nowMs + 100 + random.nextInt(4_000);
   }
 
   /** The callers of a killed owner see their connections break at once. */
   private void killOwner(OwnerBox owner) {
-    owner.jobs = JobOwner.create(TIMING);
+    owner.jobs = newOwner(owner.id);
     List.copyOf(owner.sessions.values())
         .forEach(
             session -> {
@@ -522,7 +531,7 @@
       if (nowMs - session.heardByOwnerMs >= TIMING.ownerLeaseMs()) {
         session.loseAtOwner(true);
       } else if (nowMs % BEAT_MS < 25) {
-        session.toHost(new OwnerBeat(nowMs));
+        session.toHost(new OwnerBeat(nowMs, owner.jobs.follows(session.box.id)));
       }
     }
     owner.jobs.onTick(nowMs);
@@ -555,7 +564,7 @@
     box.sessions.put(session.id, session);
     box.host.sessionBegan(session.id, owner.id, nowMs);
     // An owner beats at once when a session begins.
-    session.toHost(new OwnerBeat(nowMs));
+    session.toHost(new OwnerBeat(nowMs, owner.jobs.follows(box.id)));
   }
 
   private void check() {
--- a/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
+++ b/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
@@ -139,7 +139,7 @@
   @Test
   public void stopsTheRunsOfASilentOwner() {
     WorkerHost host = hostWithOwner(1_000);
-    host.ownerBeat(SESSION, 5_000, 1_000);
+    host.ownerBeat(SESSION, 5_000, true, 1_000);
     order(host, 1_000, run(0, 1));
     host.startAnswered("w1", run(0, 1), new StartAnswer.Started(501_000), 1_002);
     host.onTick(1_000 + TIMING.ownerLeaseMs() - 1);
@@ -154,9 +154,9 @@
   @Test
   public void aBeatThatWasHeldUpRenewsNothing() {
     WorkerHost host = hostWithOwner(1_000);
-    host.ownerBeat(SESSION, 5_000, 1_000);
+    host.ownerBeat(SESSION, 5_000, true, 1_000);
     // Sent 100 ms after the first, it comes 600 ms after it.
-    host.ownerBeat(SESSION, 5_100, 1_600);
+    host.ownerBeat(SESSION, 5_100, true, 1_600);
     host.onTick(1_100 + TIMING.ownerLeaseMs());
     settle(host, 1_750);
     assertEquals(all(HostEffect.CloseSession.class).size(), 1);
@@ -191,8 +191,8 @@
     host.sessionBegan(SESSION, "o", 1_010);
     settle(host, 1_010);
     assertFalse(told(SessionOpened.class).getFirst().formerRunsOver());
-    host.ownerBeat(SESSION, 10, 1_010);
-    host.ownerBeat(SESSION, 500, 1_500);
+    host.ownerBeat(SESSION, 10, true, 1_010);
+    host.ownerBeat(SESSION, 500, true, 1_500);
     host.onTick(1_000 + QUIET_MS - 1);
     settle(host, 1_000 + QUIET_MS - 1);
     assertEquals(told(SessionOpened.class), List.of());
@@ -237,8 +237,8 @@
     host.startAnswered("w1", run(0, 1), new StartAnswer.Started(501_000), 1_002);
     host.holdAnswered("w1", new HoldAnswer.Unanswered(), 1_400);
     host.holdAnswered("w1", new HoldAnswer.Unanswered(), 1_600);
-    host.ownerBeat(SESSION, 8_600, 1_000);
-    host.ownerBeat(SESSION, 9_000, 1_400);
+    host.ownerBeat(SESSION, 8_600, true, 1_000);
+    host.ownerBeat(SESSION, 9_000, true, 1_400);
     settle(host, 1_600);
     // The call after a lost one renews no lease, so the start was the last that did.
     host.onTick(1_000 + QUIET_MS - 1);
@@ -335,4 +335,40 @@
     list(host, 1_002, List.of());
     assertTrue(all(HostEffect.CallHold.class).getFirst().waitMs() > 0);
   }
+
+  @Test
+  public void anOwnerThatDoesNotFollowIsShownRoomWithItsBeatsOnly() {
+    WorkerHost host = hostWithOwner(1_000);
+    host.ownerBeat(SESSION, 1_000, false, 1_000);
+    settle(host, 1_000);
+    order(host, 1_200, run(0, 1));
+    settle(host, 1_400);
+    assertEquals(told(HostRows.class), List.of());
+    host.ownerBeat(SESSION, 1_450, false, 1_450);
+    settle(host, 1_450);
+    HostRows shown = told(HostRows.class).getFirst();
+    assertEquals(shown.workers().getFirst().free(), Rooms.minus(CAPACITY, NEED));
+  }
+
+  @Test
+  public void everyOwnerIsShownAtOnceThatAWorkerTakesNothing() {
+    WorkerHost host = hostWithOwner(1_000);
+    host.ownerBeat(SESSION, 1_000, false, 1_000);
+    settle(host, 1_000);
+    host.workerSeen(worker("w1", true, 2), 1_010);
+    settle(host, 1_010);
+    HostRows shown = told(HostRows.class).getFirst();
+    assertEquals(shown.workers().getFirst().state(), WorkerState.DRAINING);
+  }
+
+  @Test
+  public void aBeatIsAnsweredUnlessTheWorkersWereShownAMomentAgo() {
+    WorkerHost host = hostWithOwner(1_000);
+    host.ownerBeat(SESSION, 1_050, true, 1_050);
+    settle(host, 1_050);
+    assertEquals(told(HostRows.class), List.of());
+    host.ownerBeat(SESSION, 1_230, true, 1_230);
+    settle(host, 1_230);
+    assertEquals(told(HostRows.class).size(), 1);
+  }
 }
--- a/daemon/src/main/java/io/hingehoist/host/HostNode.java
+++ b/daemon/src/main/java/io/hingehoist/host/HostNode.java
@@ -29,6 +29,7 @@
 import io.hingehoist.run.WorkerInfo;
 import io.hingehoist.settings.HostSection;
 import io.hingehoist.settings.NodeSection;
+import io.hingehoist.wire.Addresses;
 import java.io.IOException;
 
 /** A host: one event loop that owns the {@link WorkerHost} and carries all connections. */
@@ -71,7 +72,12 @@
     this.workers = adapter.workerCalls(loop, settings.listenAddress());
     this.controls = ControlLinks.create(loop, self, metrics, new ControlListener());
     this.owners = new OwnerLinks(loop, self, metrics, new OwnerListener());
-    this.peers = PeerServer.open(loop, settings.listenAddress(), AnnouncementHandler::new, metrics);
+    this.peers =
+        PeerServer.open(
+            loop,
+            Addresses.firstNonEmpty(settings.bindAddress(), settings.listenAddress()),
+            AnnouncementHandler::new,
+            metrics);
     HttpServer.open(loop, settings.workerDoorAddress(), MAX_BODY_BYTES, adapter.workerDoor(this));
   }
 
@@ -201,7 +207,7 @@
     public void onMessage(long sessionId, Message message) {
       long now = EventLoop.nowMs();
       switch (message) {
-        case OwnerBeat beat -> host.ownerBeat(sessionId, beat.sentAtMs(), now);
+        case OwnerBeat beat -> host.ownerBeat(sessionId, beat.sentAtMs(), beat.follows(), now);
         case OwnerWaiting news -> host.ownerWaiting(sessionId, news, now);
         case StartRuns order -> host.startRuns(sessionId, order, now);
         case StopRun order -> host.stopRun(sessionId, order.run(), now);
--- a/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
+++ b/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
@@ -39,6 +39,9 @@
     void onLost(String hostId, boolean silent);
 
     void onAnnounce(Peer peer);
+
+    /** Returns whether a host is to show each change at once. */
+    boolean follows(String hostId);
   }
 
   private static final class Session {
@@ -61,14 +64,20 @@
   private final Map<String, Long> knockedAtMs = new HashMap<>();
   private long beatAtMs;
 
-  HostSessions(EventLoop loop, Peer self, long silenceMs, Metrics metrics, Listener listener)
+  HostSessions(
+      EventLoop loop,
+      Peer self,
+      String bindAddress,
+      long silenceMs,
+      Metrics metrics,
+      Listener listener)
       throws IOException {
     this.loop = loop;
     this.self = self;
     this.silenceMs = silenceMs;
     this.metrics = metrics;
     this.listener = listener;
-    this.server = PeerServer.open(loop, self.address(), HostHandler::new, metrics);
+    this.server = PeerServer.open(loop, bindAddress, HostHandler::new, metrics);
   }
 
   void send(String hostId, Message message) {
@@ -86,7 +95,7 @@
     beatAtMs = nowMs;
     for (Map.Entry<String, Session> entry : List.copyOf(sessions.entrySet())) {
       Session session = entry.getValue();
-      session.channel.send(new OwnerBeat(nowMs));
+      session.channel.send(new OwnerBeat(nowMs, listener.follows(entry.getKey())));
       if (nowMs - Math.max(session.channel.heardAtMs(), session.beganAtMs) >= silenceMs) {
         lose(entry.getKey(), true);
       }
@@ -143,7 +152,8 @@
         hostId = Optional.of(hello.nodeId());
         lose(hello.nodeId(), false);
         sessions.put(hello.nodeId(), new Session(channel, EventLoop.nowMs()));
-        channel.send(new OwnerBeat(EventLoop.nowMs()));
+        // Whether this host will be followed is known only once it has said more of itself.
+        channel.send(new OwnerBeat(EventLoop.nowMs(), true));
       } else {
         metrics.noteBadFrame();
         channel.close();
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -28,6 +28,7 @@
 import io.hingehoist.run.RunTiming;
 import io.hingehoist.settings.NodeSection;
 import io.hingehoist.settings.OwnerSection;
+import io.hingehoist.wire.Addresses;
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.List;
@@ -91,7 +92,7 @@
     this.timing =
         RunTiming.of(
             settings.resubmitAfterMs(), settings.longestWorkerLeaseMs(), settings.killGraceMs());
-    this.jobs = JobOwner.create(timing);
+    this.jobs = JobOwner.create(timing, node.nodeId(), node.zone(), settings.followedHosts());
     Peer self =
         new Peer(
             node.nodeId(),
@@ -100,7 +101,14 @@
             System.currentTimeMillis(),
             node.zone());
     this.controls = ControlLinks.create(loop, self, metrics, new ControlListener());
-    this.hosts = new HostSessions(loop, self, timing.ownerLeaseMs(), metrics, new HostListener());
+    this.hosts =
+        new HostSessions(
+            loop,
+            self,
+            Addresses.firstNonEmpty(settings.bindAddress(), settings.listenAddress()),
+            timing.ownerLeaseMs(),
+            metrics,
+            new HostListener());
     this.front =
         HttpServer.open(loop, settings.frontAddress(), MAX_BODY_BYTES, adapter.frontDoor(this));
     if (!settings.readyAddress().isEmpty()) {
@@ -320,7 +328,7 @@
   private final class HostListener implements HostSessions.Listener {
     @Override
     public void onOpened(String hostId, SessionOpened opened) {
-      jobs.sessionOpened(hostId, opened.hostIncarnation(), opened.formerRunsOver());
+      jobs.sessionOpened(hostId, opened.zone(), opened.hostIncarnation(), opened.formerRunsOver());
       settleLater();
     }
 
@@ -339,6 +347,11 @@
       settleLater();
     }
 
+    @Override
+    public boolean follows(String hostId) {
+      return jobs.follows(hostId);
+    }
+
     @Override
     public void onLost(String hostId, boolean silent) {
       jobs.sessionLost(hostId, silent, EventLoop.nowMs());
--- a/daemon/src/test/java/io/hingehoist/net/PeerLinkTest.java
+++ b/daemon/src/test/java/io/hingehoist/net/PeerLinkTest.java
@@ -73,7 +73,7 @@
   private static final class Silent implements PeerHandler {
     @Override
     public void onOpen(PeerChannel channel) {
-      channel.send(new OwnerBeat(7));
+      channel.send(new OwnerBeat(7, true));
     }
 
     @Override
@@ -98,7 +98,7 @@
     PeerLink link = link();
     for (int round = 0; round < 2; round++) {
       assertEquals(received.poll(10, TimeUnit.SECONDS), HELLO);
-      assertEquals(received.poll(10, TimeUnit.SECONDS), new OwnerBeat(7));
+      assertEquals(received.poll(10, TimeUnit.SECONDS), new OwnerBeat(7, true));
       PeerChannel channel = accepted.poll(10, TimeUnit.SECONDS);
       loop.execute(channel::close);
     }
@@ -110,7 +110,7 @@
     PeerLink link = link();
     assertTrue(accepted.poll(10, TimeUnit.SECONDS) != null);
     assertEquals(received.poll(10, TimeUnit.SECONDS), HELLO);
-    assertEquals(received.poll(10, TimeUnit.SECONDS), new OwnerBeat(7));
+    assertEquals(received.poll(10, TimeUnit.SECONDS), new OwnerBeat(7, true));
     loop.execute(() -> link.onTick(EventLoop.nowMs() + 10_000));
     assertTrue(closed.poll(10, TimeUnit.SECONDS) != null);
     assertEquals(received.poll(10, TimeUnit.SECONDS), HELLO);
