--- a/benchmark/src/main/java/io/hingehoist/cluster/Launch.java
+++ b/benchmark/src/main/java/io/hingehoist/cluster/Launch.java
@@ -5,12 +5,13 @@
 import java.util.List;
 
 /** Static helpers that start the daemon as an operator does, by its launcher. */
-final class Launch {
+public final class Launch {
   private static final Path LAUNCHER = Path.of("bin", "hingehoistd");
 
   private Launch() {}
 
-  static ProcessBuilder builder(String flags, String action, Path settingsFile) {
+  /** Returns how an action of the daemon is started on a settings file. */
+  public static ProcessBuilder builder(String flags, String action, Path settingsFile) {
     ProcessBuilder builder =
         new ProcessBuilder(List.of(launcher(), action, settingsFile.toString()));
     builder.environment().put("JAVA_HOME", System.getProperty("java.home"));
--- a/benchmark/src/main/java/io/hingehoist/cluster/NodeProcess.java
+++ b/benchmark/src/main/java/io/hingehoist/cluster/NodeProcess.java
@@ -23,7 +23,7 @@
   }
 
   /** Creates a process of the daemon that is not started yet. */
-  static NodeProcess create(String name, Path folder, ProcessBuilder builder) {
+  public static NodeProcess create(String name, Path folder, ProcessBuilder builder) {
     return new NodeProcess(name, folder, builder);
   }
 
--- a/benchmark/src/main/java/io/hingehoist/standin/Relay.java
+++ b/benchmark/src/main/java/io/hingehoist/standin/Relay.java
@@ -7,7 +7,9 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -76,6 +78,19 @@
     cuts.clear();
   }
 
+  /** Resets every connection that passes, on both sides. */
+  public void resetAll() {
+    for (Socket socket : List.copyOf(sockets)) {
+      try {
+        // With no time to linger, closing sends a reset.
+        socket.setSoLinger(true, 0);
+      } catch (SocketException e) {
+        // It is closed already.
+      }
+      close(socket);
+    }
+  }
+
   private boolean isCut(String sourceIp, Direction direction) {
     return cuts.contains(new Cut(sourceIp, direction)) || cuts.contains(new Cut(ANY, direction));
   }
