--- a/benchmark/src/main/java/io/hingehoist/cluster/LocalCluster.java
+++ b/benchmark/src/main/java/io/hingehoist/cluster/LocalCluster.java
@@ -3,9 +3,6 @@
 import io.hingehoist.standin.Relay;
 import io.hingehoist.standin.StandInBackend;
 import java.io.IOException;
-import java.net.BindException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -17,7 +14,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
@@ -39,14 +35,11 @@
   private static final int AGENT_BIND_PORT = 17_200;
   private static final int BACKEND_PORT = 9_000;
   private static final int METRICS_PORT = 7_300;
-  private static final int RESERVATION_PORT = 7_000;
-  private static final int NETWORKS = 250;
   private static final Duration HTTP_TIMEOUT = Duration.ofSeconds(5);
 
   private final Path folder;
   private final ClusterShape shape;
-  private final ServerSocket reservation;
-  private final int network;
+  private final LoopbackNetwork network;
   private final Map<String, NodeProcess> processes = new LinkedHashMap<>();
   private final Map<String, Relay> relays = new LinkedHashMap<>();
   private final Map<String, Relay> callerRelays = new LinkedHashMap<>();
@@ -56,23 +49,7 @@
   private LocalCluster(Path folder, ClusterShape shape) throws IOException {
     this.folder = folder;
     this.shape = shape;
-    this.reservation = reserveNetwork();
-    this.network = reservation.getInetAddress().getAddress()[1] & 0xff;
-  }
-
-  /** Takes a network that no other cluster on this machine has: one socket on it stands for it. */
-  private static ServerSocket reserveNetwork() throws IOException {
-    int first = ThreadLocalRandom.current().nextInt(NETWORKS);
-    for (int i = 0; i < NETWORKS; i++) {
-      int candidate = 2 + (first + i) % NETWORKS;
-      try {
-        return new ServerSocket(
-            RESERVATION_PORT, 1, InetAddress.getByName("127." + candidate + ".0.1"));
-      } catch (BindException e) {
-        // Another cluster has it.
-      }
-    }
-    throw new IOException("all networks of 127.0.0.0/8 from 127.2 on are taken");
+    this.network = LoopbackNetwork.reserve();
   }
 
   /** Writes the settings files of a cluster, and opens relays and backend servers. */
@@ -89,11 +66,11 @@
   }
 
   private String serverIp(int i) {
-    return "127." + network + ".1." + i;
+    return network.ip(1, i);
   }
 
   private String agentIp(int i) {
-    return "127." + network + ".2." + i;
+    return network.ip(2, i);
   }
 
   private String controlAddresses() {
@@ -348,11 +325,7 @@
   /** Ends everything at once. */
   @Override
   public void close() throws IOException {
-    for (NodeProcess process : processes.values()) {
-      if (process.isRunning()) {
-        process.kill();
-      }
-    }
+    processes.values().forEach(NodeProcess::killIfRunning);
     for (Relay relay : relays.values()) {
       relay.close();
     }
@@ -363,6 +336,6 @@
       backend.close();
     }
     // The network is free once nothing of this cluster listens on it any more.
-    reservation.close();
+    network.close();
   }
 }
--- a/benchmark/src/main/java/io/hingehoist/cluster/NodeProcess.java
+++ b/benchmark/src/main/java/io/hingehoist/cluster/NodeProcess.java
@@ -55,6 +55,13 @@
     awaitEnd();
   }
 
+  /** Kills the process as {@link #kill} does, unless it has ended or was never started. */
+  public void killIfRunning() {
+    if (isRunning()) {
+      kill();
+    }
+  }
+
   /** Asks the process to stop. */
   public void terminate() {
     process.destroy();
--- a/core/src/test/java/io/hingehoist/run/PlayedLoad.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedLoad.java
@@ -20,6 +20,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.stream.DoubleStream;
 
 /**
  * Owners that share workers under a load near or over their room, without faults, to weigh policies
@@ -225,13 +226,7 @@
 
   /** Returns the share of the worth that was earned. */
   double earnedShare() {
-    double all = 0;
-    double got = 0;
-    for (int i = 0; i < owed.length; i++) {
-      all += owed[i];
-      got += earned[i];
-    }
-    return got / all;
+    return DoubleStream.of(earned).sum() / owedInAll();
   }
 
   /** Returns the share of the worth that was earned of the jobs of one priority. */
@@ -241,11 +236,11 @@
 
   /** Returns the share of the worth that refusals cost because they came late. */
   double heldShare() {
-    double all = 0;
-    for (double worth : owed) {
-      all += worth;
-    }
-    return heldWorth / all;
+    return heldWorth / owedInAll();
+  }
+
+  private double owedInAll() {
+    return DoubleStream.of(owed).sum();
   }
 
   /** Returns the number of messages in which hosts showed their workers. */
