Calls to workers: learned time-outs, the same start again, ends asked for more often while calls get lost

Each worker has some 30 calls for its ends a second; a lost one hid all ends there for 200 ms (wait 100, margin 100), so a worker was blind about a third of the time, its room stood empty and jobs were late. A lost start cost 120 ms, a stop, and up to 250 ms until a list showed that nothing was there.

Change: time-outs from answers seen (RFC 6298, 20 to 120 ms); an unanswered start is sent again under its number, which a worker takes once, three times, the last on a new connection; a wait of 20 ms for ends while calls get lost; a list is asked for when a stop must have been carried out; silent after three lost calls in a row.

--- a/core/src/main/java/io/hingehoist/run/HostEffect.java
+++ b/core/src/main/java/io/hingehoist/run/HostEffect.java
@@ -10,13 +10,25 @@
    * Orders a run at a worker; the answer comes back by {@link WorkerHost#startAnswered}.
    *
    * @param deadlineMs the end of the worker's lease, by the worker's clock
+   * @param patience when the call counts as lost
    */
   record CallStart(
-      String workerId, String address, RunRef run, String spec, long deadlineMs, long token)
+      String workerId,
+      String address,
+      RunRef run,
+      String spec,
+      long deadlineMs,
+      long token,
+      Patience patience)
       implements HostEffect {}
 
-  /** Stops a run at a worker; the answer comes back by {@link WorkerHost#stopAnswered}. */
-  record CallStop(String workerId, String address, RunRef run, long token) implements HostEffect {}
+  /**
+   * Stops a run at a worker; the answer comes back by {@link WorkerHost#stopAnswered}.
+   *
+   * @param patience when the call counts as lost
+   */
+  record CallStop(String workerId, String address, RunRef run, long token, Patience patience)
+      implements HostEffect {}
 
   /**
    * Renews the lease of a worker and asks for its runs; the answer comes back by {@link
@@ -25,11 +37,26 @@
    * @param deadlineMs the end of the lease, by the worker's clock; 0 leaves it as it is
    * @param lastSeen the number up to which ends are taken note of
    * @param waitMs the time that the worker may wait for an end
+   * @param patience when the call counts as lost, the wait included
    */
   record CallHold(
-      String workerId, String address, long deadlineMs, long token, long lastSeen, long waitMs)
+      String workerId,
+      String address,
+      long deadlineMs,
+      long token,
+      long lastSeen,
+      long waitMs,
+      Patience patience)
       implements HostEffect {}
 
+  /**
+   * When a call counts as lost.
+   *
+   * @param timeoutMs the time for its answer
+   * @param freshConnection whether kept connections are passed over: they may have fallen silent
+   */
+  record Patience(long timeoutMs, boolean freshConnection) {}
+
   /** Closes the connections to an address that no worker uses any more. */
   record ForgetAddress(String address) implements HostEffect {}
 
--- a/core/src/main/java/io/hingehoist/run/HostedRun.java
+++ b/core/src/main/java/io/hingehoist/run/HostedRun.java
@@ -24,6 +24,14 @@
   long orderedAtMs;
   long stopSentAtMs;
 
+  /** When the last call about it was sent, and how many in a row had no answer. */
+  long calledAtMs;
+
+  int unansweredCalls;
+
+  /** Whether the answer of a stop is yet to come. */
+  boolean stopIsOpen;
+
   HostedRun(RunRef run, Room need, String spec, long sessionId, long nowMs) {
     this.run = run;
     this.need = need;
--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -29,12 +29,31 @@
  * owns it.
  */
 public final class WorkerHost {
+  /** How long a worker that runs something may wait for an end; a lost call hides ends so long. */
   private static final long BUSY_WAIT_MS = 100;
+
+  /** The same while calls get lost: ends are hidden for 40 ms in place of 200. */
+  private static final long LOSSY_WAIT_MS = 20;
+
+  /** After a lost call, for how long others are expected. */
+  static final long LOSSY_FOR_MS = 2_000;
+
   private static final long IDLE_WAIT_MS = 300;
-  private static final long SILENT_RETRY_MS = 100;
-  private static final int SILENT_AFTER_LOST_HOLDS = 2;
+  private static final long SILENT_RETRY_MS = 50;
+
+  /** While one call of ten gets lost, a worker that is well looks silent once in 1,000 calls. */
+  private static final int SILENT_AFTER_LOST_HOLDS = 3;
+
   private static final long QUICK_HOLD_MS = 2;
-  private static final long STOP_RETRY_MS = 50;
+
+  /** An order is sent so often before its number is barred. */
+  private static final int MAX_STARTS = 3;
+
+  /** A stop that failed sooner than a lost call would waits for the next tick. */
+  private static final long MIN_STOP_PAUSE_MS = 10;
+
+  /** From which unanswered call in a row on a new connection is tried. */
+  private static final int FRESH_CONNECTION_AFTER = 2;
 
   /** An owner that was shown the workers so lately knows that its host lives. */
   private static final long SHOWN_LATELY_MS = 100;
@@ -275,9 +294,21 @@
   }
 
   private void callStart(WorkerLife life, HostedRun run, long nowMs) {
+    run.calledAtMs = nowMs;
     effects.add(
         new HostEffect.CallStart(
-            life.id(), life.info().address(), run.run, run.spec, life.grantLease(nowMs), token));
+            life.id(),
+            life.info().address(),
+            run.run,
+            run.spec,
+            life.grantLease(nowMs),
+            token,
+            patience(life, run)));
+  }
+
+  private static HostEffect.Patience patience(WorkerLife life, HostedRun run) {
+    boolean fresh = run.unansweredCalls >= FRESH_CONNECTION_AFTER;
+    return new HostEffect.Patience(life.answerTimes.timeoutMs(), fresh);
   }
 
   /** Stops a run on its owner's word. One that is not here is over. */
@@ -301,7 +332,11 @@
 
   private void callStop(WorkerLife life, HostedRun run, long nowMs) {
     run.stopSentAtMs = nowMs;
-    effects.add(new HostEffect.CallStop(life.id(), life.info().address(), run.run, token));
+    run.calledAtMs = nowMs;
+    run.stopIsOpen = true;
+    effects.add(
+        new HostEffect.CallStop(
+            life.id(), life.info().address(), run.run, token, patience(life, run)));
   }
 
   // Answers of workers.
@@ -318,6 +353,7 @@
   private void startAnswered(WorkerLife life, HostedRun run, StartAnswer answer, long nowMs) {
     switch (answer) {
       case StartAnswer.Started started -> {
+        noteAnswer(life, run, nowMs);
         life.readClock(started.workerClockMs(), nowMs);
         if (run.state == HostedRun.State.ORDERED) {
           run.state = HostedRun.State.RUNNING;
@@ -333,19 +369,39 @@
         repeatStart(life, run, nowMs);
       }
       case StartAnswer.Refused refused -> {
+        noteAnswer(life, run, nowMs);
         life.remove(run);
         refuse(run.sessionId, run.run, life.id(), refused.reason());
       }
-      case StartAnswer.Unanswered unanswered -> {
-        // A stop bars the number, so that the order can't be carried out afterwards.
-        note("startUnanswered", run.run.task(), life.id(), "run=" + run.run.number());
-        run.state = HostedRun.State.STOPPING;
-        callStop(life, run, nowMs);
-      }
+      case StartAnswer.Unanswered unanswered -> startUnanswered(life, run, nowMs);
       case StartAnswer.Gone gone -> endLife(life, "start found it gone");
     }
   }
 
+  private static void noteAnswer(WorkerLife life, HostedRun run, long nowMs) {
+    run.unansweredCalls = 0;
+    life.answerTimes.noteAnswer(nowMs - run.calledAtMs);
+  }
+
+  /**
+   * The same order again is harmless: a worker takes a number once, however often and late it
+   * comes. So the run starts some 20 ms later, in place of elsewhere after its number was barred,
+   * which took 170 to 400 ms. In the end a stop bars the number, so that the order can't be carried
+   * out afterwards.
+   */
+  private void startUnanswered(WorkerLife life, HostedRun run, long nowMs) {
+    life.noteLostCall(nowMs);
+    run.unansweredCalls++;
+    String outcome = "run=" + run.run.number() + " calls=" + run.unansweredCalls;
+    note("startUnanswered", run.run.task(), life.id(), outcome);
+    if (run.state == HostedRun.State.ORDERED && run.unansweredCalls < MAX_STARTS) {
+      callStart(life, run, nowMs);
+    } else {
+      run.state = HostedRun.State.STOPPING;
+      callStop(life, run, nowMs);
+    }
+  }
+
   private void repeatStart(WorkerLife life, HostedRun run, long nowMs) {
     if (run.state == HostedRun.State.ORDERED) {
       callStart(life, run, nowMs);
@@ -369,13 +425,23 @@
     life(workerId)
         .flatMap(life -> life.find(run))
         .filter(hosted -> hosted.state == HostedRun.State.STOPPING)
-        .ifPresent(
-            hosted -> {
-              if (answered) {
-                hosted.state = HostedRun.State.STOPPED;
-                hosted.stopSentAtMs = nowMs;
-              }
-            });
+        .ifPresent(hosted -> stopAnswered(lives.get(workerId), hosted, answered, nowMs));
+  }
+
+  private void stopAnswered(WorkerLife life, HostedRun run, boolean answered, long nowMs) {
+    if (answered) {
+      noteAnswer(life, run, nowMs);
+      run.state = HostedRun.State.STOPPED;
+      run.stopSentAtMs = nowMs;
+      return;
+    }
+    life.noteLostCall(nowMs);
+    run.unansweredCalls++;
+    // A connection that is reset at once would be tried a thousand times a second.
+    run.stopIsOpen = nowMs - run.calledAtMs >= MIN_STOP_PAUSE_MS;
+    if (run.stopIsOpen) {
+      callStop(life, run, nowMs);
+    }
   }
 
   /** Takes a worker's list of its runs. */
@@ -398,6 +464,7 @@
       case HoldAnswer.Unanswered unanswered -> {
         // One lost call says nothing of the worker; to wait for the next would hide its ends.
         life.lostHolds++;
+        life.noteLostCall(nowMs);
         if (life.lostHolds == SILENT_AFTER_LOST_HOLDS) {
           note("workerSilent", "", life.id(), "runs=" + life.runs().size());
           life.silent = true;
@@ -489,7 +556,8 @@
   /** Stops a run that an earlier life of this host, or a late order, left behind. */
   private void stopStranger(WorkerLife life, RunRef run) {
     note("strangerStopped", run.task(), life.id(), "run=" + run.number());
-    effects.add(new HostEffect.CallStop(life.id(), life.info().address(), run, token));
+    HostEffect.Patience patience = new HostEffect.Patience(life.answerTimes.timeoutMs(), false);
+    effects.add(new HostEffect.CallStop(life.id(), life.info().address(), run, token, patience));
   }
 
   private void over(WorkerLife life, HostedRun run, RunEnd how) {
@@ -510,22 +578,46 @@
     }
     life.holdOpen = true;
     life.holdSentAtMs = nowMs;
-    long waitMs = waitMs(life);
+    long waitMs = waitMs(life, nowMs);
     // The lease of a worker that may be lost is left to end, so that its runs are over at a known
     // time.
     boolean renews = life.lostHolds == 0 && life.hasRuns();
     long deadlineMs = renews ? life.grantLease(nowMs) : 0;
     effects.add(
         new HostEffect.CallHold(
-            life.id(), life.info().address(), deadlineMs, token, life.lastSeen, waitMs));
+            life.id(),
+            life.info().address(),
+            deadlineMs,
+            token,
+            life.lastSeen,
+            waitMs,
+            patience(life, waitMs)));
+  }
+
+  private static HostEffect.Patience patience(WorkerLife life, long waitMs) {
+    boolean fresh = life.lostHolds >= FRESH_CONNECTION_AFTER;
+    return new HostEffect.Patience(waitMs + life.answerTimes.timeoutMs(), fresh);
   }
 
   /** Until a list shows what is there no run is ordered, so none waits for the first one. */
-  private static long waitMs(WorkerLife life) {
+  private long waitMs(WorkerLife life, long nowMs) {
     if (life.silent || !life.listed) {
       return 0;
     }
-    return life.hasRuns() ? BUSY_WAIT_MS : IDLE_WAIT_MS;
+    if (!life.hasRuns()) {
+      return IDLE_WAIT_MS;
+    }
+    long mostMs = life.losesCalls(nowMs) ? LOSSY_WAIT_MS : BUSY_WAIT_MS;
+    return Math.min(mostMs, untilStopsAreCarriedOut(life, nowMs));
+  }
+
+  /** A list that is asked for at that time shows that a stopped run is over. */
+  private long untilStopsAreCarriedOut(WorkerLife life, long nowMs) {
+    return life.runs().stream()
+        .filter(run -> run.state == HostedRun.State.STOPPED)
+        .mapToLong(run -> Math.max(0, run.stopSentAtMs + timing.killGraceMs() - nowMs))
+        .min()
+        .orElse(Long.MAX_VALUE);
   }
 
   // Time and rows.
@@ -555,7 +647,7 @@
       life.runs().forEach(run -> over(life, run, RunEnd.LOST));
     }
     for (HostedRun run : life.runs()) {
-      if (run.state == HostedRun.State.STOPPING && nowMs - run.stopSentAtMs >= STOP_RETRY_MS) {
+      if (run.state == HostedRun.State.STOPPING && !run.stopIsOpen) {
         callStop(life, run, nowMs);
       }
     }
--- a/core/src/main/java/io/hingehoist/run/WorkerLife.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerLife.java
@@ -20,6 +20,7 @@
 
   final FailureWatch failures = new FailureWatch();
   final RoomOffers offers = new RoomOffers();
+  final AnswerTimes answerTimes = new AnswerTimes();
   private final RunTiming timing;
   private final Map<RunRef, HostedRun> runs = new LinkedHashMap<>();
   private WorkerInfo info;
@@ -40,6 +41,7 @@
   long holdSentAtMs;
   long holdDueAtMs;
   int lostHolds;
+  private long lostCallAtMs = -WorkerHost.LOSSY_FOR_MS;
 
   WorkerLife(WorkerInfo info, RunTiming timing, long nowMs) {
     this.info = info;
@@ -100,6 +102,18 @@
     return nowMs >= leaseOverAtMs;
   }
 
+  // Calls that get lost.
+
+  void noteLostCall(long nowMs) {
+    answerTimes.noteLoss();
+    lostCallAtMs = nowMs;
+  }
+
+  /** Returns whether a call was lost a moment ago. */
+  boolean losesCalls(long nowMs) {
+    return nowMs - lostCallAtMs < WorkerHost.LOSSY_FOR_MS;
+  }
+
   // Runs and room.
 
   /** Returns the room that may be given out: a part of it while the worker is on trial. */
--- a/daemon/src/main/java/io/hingehoist/net/HttpCaller.java
+++ b/daemon/src/main/java/io/hingehoist/net/HttpCaller.java
@@ -35,8 +35,11 @@
    * A call.
    *
    * @param instance the life of the called process that is meant; empty for any
+   * @param timeoutMs the time for the answer; its connection is closed then
+   * @param fresh whether a new connection is opened for it though one is kept
    */
-  public record Call(String method, String path, String instance, byte[] body, long timeoutMs) {}
+  public record Call(
+      String method, String path, String instance, byte[] body, long timeoutMs, boolean fresh) {}
 
   private record Waiting(Call call, Consumer<HttpReply> replies) {}
 
@@ -86,7 +89,8 @@
 
   private void serveWaiting() {
     while (!waiting.isEmpty()) {
-      Connection connection = idle.poll();
+      boolean fresh = waiting.peek().call().fresh() && connections < maxConnections;
+      Connection connection = fresh ? null : idle.poll();
       if (connection != null && !connection.channel.isActive()) {
         continue;
       }
