Hosts judge by progress whether their worker gets on; runs leave one that stands still

Each owner learned it from its own runs, at 2.5 times their expected time, and lost jobs to it first; later it tried again by itself. Ruled out: room (9 of 11 workers have enough for the usual load).

Change: the host sees the runs of all owners. It compares the progress that lists show with the estimates, and shows the worker as SLOW or STALLED within some 100 ms; owners order nothing there while most workers are well, and move runs off (from one that stands still at once, from a slow one if there is room and the run is not about to end). After a rest of 0.5 to 1.5 s the worker is tried with a fifth of its room.

--- a/core/src/main/java/io/hingehoist/run/HoldAnswer.java
+++ b/core/src/main/java/io/hingehoist/run/HoldAnswer.java
@@ -14,14 +14,26 @@
    */
   record Ended(long number, RunRef run, RunEnd how) {}
 
+  /**
+   * A run that goes on.
+   *
+   * @param percent how much of it is done, 0 to 100
+   */
+  record Running(RunRef run, int percent) {}
+
   /** The runs that go on, and the ends after the one that was last taken note of. */
-  record Listed(long workerClockMs, List<RunRef> running, List<Ended> ended) implements HoldAnswer {
+  record Listed(long workerClockMs, List<Running> running, List<Ended> ended)
+      implements HoldAnswer {
 
     /** Copies the lists. */
     public Listed {
       running = List.copyOf(running);
       ended = List.copyOf(ended);
     }
+
+    boolean shows(RunRef run) {
+      return running.stream().anyMatch(row -> row.run().equals(run));
+    }
   }
 
   /** The worker did nothing, as the token was lower than one that it has seen. */
--- a/core/src/main/java/io/hingehoist/run/HostedRun.java
+++ b/core/src/main/java/io/hingehoist/run/HostedRun.java
@@ -2,6 +2,7 @@
 
 import io.hingehoist.message.Room;
 import io.hingehoist.message.RunRef;
+import io.hingehoist.message.StartRuns;
 
 /** One run at a worker, from its order until it is provably over. Owned by {@link WorkerHost}. */
 final class HostedRun {
@@ -19,6 +20,7 @@
   final RunRef run;
   final Room need;
   final String spec;
+  final long estimateMs;
   final long sessionId;
   State state = State.ORDERED;
   long orderedAtMs;
@@ -32,10 +34,11 @@
   /** Whether the answer of a stop is yet to come. */
   boolean stopIsOpen;
 
-  HostedRun(RunRef run, Room need, String spec, long sessionId, long nowMs) {
+  HostedRun(RunRef run, StartRuns order, long sessionId, long nowMs) {
     this.run = run;
-    this.need = need;
-    this.spec = spec;
+    this.need = order.need();
+    this.spec = order.spec();
+    this.estimateMs = order.estimateMs();
     this.sessionId = sessionId;
     this.orderedAtMs = nowMs;
   }
--- a/core/src/main/java/io/hingehoist/run/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/JobOwner.java
@@ -8,6 +8,7 @@
 import io.hingehoist.message.RunRef;
 import io.hingehoist.message.RunRefusal;
 import io.hingehoist.message.StopRun;
+import io.hingehoist.message.WorkerState;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -38,6 +39,14 @@
 
   private static final long STRAGGLER_MIN_MS = 100;
 
+  /**
+   * Between these shares of its expected time a run is left on a worker that became slow: most of
+   * it was done before.
+   */
+  private static final double NEARLY_DONE = 0.5;
+
+  private static final double OVERDUE = 1.2;
+
   /** After so long without any worker, jobs are refused that can't wait for one to be found. */
   private static final long WITHOUT_WORKERS_MS = 250;
 
@@ -361,16 +370,43 @@
   private void checkProgress(OwnedTask task, long nowMs) {
     long ranMs = nowMs - task.orderedAtMs;
     double expectedMs = speeds.expectedMs(task.plan().estimateMs());
+    if (isBetterElsewhere(task, ranMs, expectedMs, nowMs)) {
+      move(task, ranMs);
+      return;
+    }
     if (ranMs < STRAGGLER_MIN_MS || ranMs < STRAGGLER_FACTOR * expectedMs) {
       return;
     }
     speeds.noteOverdue(task.workerId, ranMs, task.plan().estimateMs(), nowMs);
     boolean slow = view(task).map(worker -> choice.isSlow(worker, nowMs)).orElse(false);
     if (slow && !task.stopSent && newPass(nowMs).choose(task).isPresent()) {
-      note("runMoved", task.job.plan.jobId(), task.name, task.workerId, "ranMs=" + ranMs);
-      task.avoidedWorkerId = task.workerId;
-      stop(task);
+      move(task, ranMs);
+    }
+  }
+
+  private void move(OwnedTask task, long ranMs) {
+    note("runMoved", task.job.plan.jobId(), task.name, task.workerId, "ranMs=" + ranMs);
+    task.avoidedWorkerId = task.workerId;
+    stop(task);
+  }
+
+  /**
+   * On the word of its host, a run leaves a worker that stands still, even if it then has to wait
+   * for room, and a slow one if there is room and the run is not about to end.
+   */
+  private boolean isBetterElsewhere(OwnedTask task, long ranMs, double expectedMs, long nowMs) {
+    WorkerState state = view(task).map(worker -> worker.row().state()).orElse(WorkerState.SILENT);
+    boolean stalled = state == WorkerState.STALLED;
+    boolean slow = state == WorkerState.SLOW && !isAboutToEnd(ranMs, expectedMs);
+    if (task.stopSent || !(stalled || slow)) {
+      return false;
     }
+    PlacementPass pass = newPass(nowMs);
+    return pass.leavesOut(task) && (stalled || pass.choose(task).isPresent());
+  }
+
+  private static boolean isAboutToEnd(long ranMs, double expectedMs) {
+    return ranMs > NEARLY_DONE * expectedMs && ranMs < OVERDUE * expectedMs;
   }
 
   /** Orders runs for the tasks that wait, best priority first, as far as there is room. */
--- a/core/src/main/java/io/hingehoist/run/PlacementPass.java
+++ b/core/src/main/java/io/hingehoist/run/PlacementPass.java
@@ -70,7 +70,8 @@
     return all.size() > followed.size() || !task.plan().near().isEmpty();
   }
 
-  private boolean leavesOut(OwnedTask task) {
+  /** Returns whether unwell workers get none of a task's kind, as most others are well. */
+  boolean leavesOut(OwnedTask task) {
     return leavesOutByService.computeIfAbsent(
         task.job.plan.service(), service -> choice.mayLeaveOut(service, all, nowMs));
   }
--- a/core/src/main/java/io/hingehoist/run/WorkerChoice.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerChoice.java
@@ -56,7 +56,7 @@
       for (WorkerView worker : host.workers()) {
         if (worker.row().service().equals(service)) {
           all++;
-          if (worker.isFailing() || isSlow(worker, nowMs)) {
+          if (worker.isUnwell() || isSlow(worker, nowMs)) {
             unwell++;
           }
         }
@@ -71,7 +71,7 @@
 
   private boolean isFit(WorkerView worker, OwnedTask task, boolean leavesOut, long nowMs) {
     StepPlan step = task.plan();
-    boolean takes = worker.takesRuns(nowMs) || (!leavesOut && worker.isFailing());
+    boolean takes = worker.takesRuns(nowMs) || (!leavesOut && worker.isUnwell());
     if (!takes || !worker.row().service().equals(task.job.plan.service())) {
       return false;
     }
--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -29,13 +29,16 @@
  * owns it.
  */
 public final class WorkerHost {
-  /** How long a worker that runs something may wait for an end; a lost call hides ends so long. */
-  private static final long BUSY_WAIT_MS = 100;
+  /**
+   * How long a worker that runs something may wait for an end. A lost call hides ends so long, and
+   * a worker that stands still is known after two lists.
+   */
+  private static final long BUSY_WAIT_MS = 50;
 
   /** The same while calls get lost: ends are hidden for 40 ms in place of 200. */
   private static final long LOSSY_WAIT_MS = 20;
 
-  /** After a lost call, for how long others are expected. */
+  /** After two lost calls, for how long others are expected. */
   static final long LOSSY_FOR_MS = 2_000;
 
   private static final long IDLE_WAIT_MS = 300;
@@ -262,7 +265,7 @@
       refuse(session.id, run, order.workerId(), refusal.get());
       return;
     }
-    HostedRun hosted = new HostedRun(run, order.need(), order.spec(), session.id, nowMs);
+    HostedRun hosted = new HostedRun(run, order, session.id, nowMs);
     life.add(hosted);
     life.offers.taken(session.id, order.need());
     callStart(life, hosted, nowMs);
@@ -280,10 +283,13 @@
     return fits ? Optional.empty() : Optional.of(RunRefusal.ROOM);
   }
 
-  /** That a worker fails what it runs is shown to owners, who may have no better one. */
+  /**
+   * That a worker fails what it runs, or does not get on, is shown to owners, who may have no
+   * better one.
+   */
   private static boolean takesRuns(WorkerState state) {
     return switch (state) {
-      case READY, FAILING -> true;
+      case READY, FAILING, SLOW, STALLED -> true;
       case DRAINING, SILENT -> false;
     };
   }
@@ -497,14 +503,29 @@
         takeEnd(life, ended, nowMs);
       }
     }
+    noteProgress(life, listed, nowMs);
     life.runs().forEach(run -> checkListed(life, run, listed));
     List<RunRef> strangers =
-        listed.running().stream().filter(run -> life.find(run).isEmpty()).toList();
+        listed.running().stream()
+            .map(HoldAnswer.Running::run)
+            .filter(run -> life.find(run).isEmpty())
+            .toList();
     strangers.forEach(run -> stopStranger(life, run));
     life.hasStrangers = !strangers.isEmpty();
     return newEnds;
   }
 
+  private void noteProgress(WorkerLife life, HoldAnswer.Listed listed, long nowMs) {
+    for (HoldAnswer.Running row : listed.running()) {
+      life.find(row.run())
+          .filter(run -> run.state == HostedRun.State.RUNNING)
+          .ifPresent(run -> life.progress.noteProgress(run, row.percent(), nowMs));
+    }
+    if (life.progress.judge(nowMs)) {
+      note("workerPace", "", life.id(), "pace=" + life.progress.pace(nowMs));
+    }
+  }
+
   private void takeEnd(WorkerLife life, HoldAnswer.Ended ended, long nowMs) {
     if (ended.how() == RunEnd.DONE) {
       life.failures.noteDone();
@@ -514,6 +535,9 @@
     Optional<HostedRun> found = life.find(ended.run());
     if (found.isPresent()) {
       Room need = found.get().need;
+      if (ended.how() == RunEnd.DONE) {
+        life.progress.noteDone(found.get(), nowMs);
+      }
       boolean wasTight = life.isTightFor(need);
       over(life, found.get(), ended.how(), nowMs);
       if (wasTight) {
@@ -548,7 +572,7 @@
   private void checkListed(WorkerLife life, HostedRun run, HoldAnswer.Listed listed) {
     boolean settled = run.state == HostedRun.State.STOPPED;
     boolean askedLater = life.holdSentAtMs >= run.stopSentAtMs + timing.killGraceMs();
-    if (settled && askedLater && !listed.running().contains(run.run)) {
+    if (settled && askedLater && !listed.shows(run.run)) {
       over(life, run, RunEnd.STOPPED);
     }
   }
--- a/core/src/main/java/io/hingehoist/run/WorkerLife.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerLife.java
@@ -19,6 +19,7 @@
   private static final long TRIAL_DIVISOR = 5;
 
   final FailureWatch failures = new FailureWatch();
+  final ProgressWatch progress = new ProgressWatch();
   final RoomOffers offers = new RoomOffers();
   final AnswerTimes answerTimes = new AnswerTimes();
   private final RunTiming timing;
@@ -42,6 +43,7 @@
   long holdDueAtMs;
   int lostHolds;
   private long lostCallAtMs = -WorkerHost.LOSSY_FOR_MS;
+  private long lostCallBeforeAtMs = -WorkerHost.LOSSY_FOR_MS;
 
   WorkerLife(WorkerInfo info, RunTiming timing, long nowMs) {
     this.info = info;
@@ -106,12 +108,13 @@
 
   void noteLostCall(long nowMs) {
     answerTimes.noteLoss();
+    lostCallBeforeAtMs = lostCallAtMs;
     lostCallAtMs = nowMs;
   }
 
-  /** Returns whether a call was lost a moment ago. */
+  /** Returns whether two calls were lost a moment ago: one may just have been slow. */
   boolean losesCalls(long nowMs) {
-    return nowMs - lostCallAtMs < WorkerHost.LOSSY_FOR_MS;
+    return nowMs - lostCallBeforeAtMs < WorkerHost.LOSSY_FOR_MS;
   }
 
   // Runs and room.
@@ -119,7 +122,7 @@
   /** Returns the room that may be given out: a part of it while the worker is on trial. */
   Room free() {
     Room capacity = info.capacity();
-    if (failures.isOnTrial()) {
+    if (failures.isOnTrial() || progress.isOnTrial()) {
       capacity =
           new Room(
               capacity.cpuMilli() / TRIAL_DIVISOR, capacity.memoryMb(), capacity.accelerators());
@@ -148,6 +151,7 @@
   }
 
   void remove(HostedRun run) {
+    progress.forget(run);
     if (runs.remove(run.run) != null) {
       used = Rooms.minus(used, run.need);
     }
@@ -179,6 +183,13 @@
     if (silent || hasStrangers) {
       return WorkerState.SILENT;
     }
-    return failures.isFailing(nowMs) ? WorkerState.FAILING : WorkerState.READY;
+    if (failures.isFailing(nowMs)) {
+      return WorkerState.FAILING;
+    }
+    return switch (progress.pace(nowMs)) {
+      case USUAL -> WorkerState.READY;
+      case SLOW -> WorkerState.SLOW;
+      case STALLED -> WorkerState.STALLED;
+    };
   }
 }
--- a/core/src/main/java/io/hingehoist/run/WorkerView.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerView.java
@@ -80,6 +80,14 @@
     return row.state() == WorkerState.READY && nowMs >= avoidedUntilMs;
   }
 
+  /** Returns whether its host found that the worker fails what it runs, or does not get on. */
+  boolean isUnwell() {
+    return switch (row.state()) {
+      case FAILING, SLOW, STALLED -> true;
+      case READY, DRAINING, SILENT -> false;
+    };
+  }
+
   boolean isFailing() {
     return row.state() == WorkerState.FAILING;
   }
--- a/core/src/test/java/io/hingehoist/run/JobOwnerTest.java
+++ b/core/src/test/java/io/hingehoist/run/JobOwnerTest.java
@@ -361,4 +361,66 @@
     settle(owner, 101);
     assertEquals(started(), List.of(new RunRef("j.0.2", 1)));
   }
+
+  private void showState(JobOwner owner, String host, WorkerState state, long lastOrder) {
+    owner.hostRows(host, new HostRows(lastOrder, List.of(row(host + "-w", SMALL, state))));
+  }
+
+  /** Returns an owner of one job with a run at the first of three hosts. */
+  private JobOwner ownerWithARunAtTheFirst() {
+    JobOwner owner = ownerWith("h1");
+    owner.submit(plan("j", 0, 2, step(1)), 0);
+    settle(owner, 0);
+    for (String host : List.of("h2", "h3")) {
+      owner.sessionOpened(host, "z", 1, true);
+      show(owner, host, SMALL, 0);
+    }
+    return owner;
+  }
+
+  @Test
+  public void aRunLeavesAWorkerThatStandsStill() {
+    JobOwner owner = ownerWithARunAtTheFirst();
+    owner.onTick(50);
+    settle(owner, 50);
+    assertEquals(stops(), 0);
+    showState(owner, "h1", WorkerState.STALLED, 1);
+    owner.onTick(100);
+    settle(owner, 100);
+    assertEquals(stops(), 1);
+    owner.runEnded("h1", new RunEnded(new RunRef("j.0.0", 1), RunEnd.STOPPED, 100), 110);
+    settle(owner, 110);
+    assertEquals(started(), List.of(new RunRef("j.0.0", 2)));
+    // None goes back to the worker that stands still.
+    assertTrue(
+        effects.stream()
+            .noneMatch(
+                e ->
+                    e instanceof OwnerEffect.ToHost to
+                        && to.hostId().equals("h1")
+                        && to.message() instanceof StartRuns));
+  }
+
+  @Test
+  public void aRunThatIsAboutToEndStaysOnASlowWorker() {
+    JobOwner owner = ownerWithARunAtTheFirst();
+    showState(owner, "h1", WorkerState.SLOW, 1);
+    owner.onTick(80);
+    settle(owner, 80);
+    assertEquals(stops(), 0);
+    owner.onTick(130);
+    settle(owner, 130);
+    assertEquals(stops(), 1);
+  }
+
+  @Test
+  public void nothingIsMovedWhereMostWorkersStandStill() {
+    JobOwner owner = ownerWithARunAtTheFirst();
+    for (String host : List.of("h1", "h2", "h3")) {
+      showState(owner, host, WorkerState.STALLED, 1);
+    }
+    owner.onTick(100);
+    settle(owner, 100);
+    assertEquals(stops(), 0);
+  }
 }
--- a/core/src/test/java/io/hingehoist/run/PlayedLoad.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedLoad.java
@@ -160,10 +160,20 @@
       }
     }
 
+    private List<HoldAnswer.Running> running() {
+      List<HoldAnswer.Running> rows = new ArrayList<>();
+      runs.forEach(
+          (run, beganAtMs) -> {
+            long percent = 100 * (nowMs - beganAtMs) / Math.max(1, workMs.get(run.task()));
+            rows.add(new HoldAnswer.Running(run, (int) Math.min(99, percent)));
+          });
+      return rows;
+    }
+
     private void answer(HostEffect.CallHold call) {
       openHold = Optional.empty();
       List<HoldAnswer.Ended> news = List.copyOf(ended.subList((int) call.lastSeen(), ended.size()));
-      HoldAnswer answer = new HoldAnswer.Listed(nowMs, List.copyOf(runs.keySet()), news);
+      HoldAnswer answer = new HoldAnswer.Listed(nowMs, running(), news);
       after(
           WORKER_MS,
           () -> {
--- a/core/src/test/java/io/hingehoist/run/RoomOffersTest.java
+++ b/core/src/test/java/io/hingehoist/run/RoomOffersTest.java
@@ -48,7 +48,8 @@
   }
 
   private void list(long nowMs, List<RunRef> running, HoldAnswer.Ended... ended) {
-    host.holdAnswered("w", new HoldAnswer.Listed(500_000 + nowMs, running, List.of(ended)), nowMs);
+    host.holdAnswered(
+        "w", new HoldAnswer.Listed(500_000 + nowMs, rows(running), List.of(ended)), nowMs);
     settle(nowMs);
   }
 
@@ -87,6 +88,10 @@
         .count();
   }
 
+  private static List<HoldAnswer.Running> rows(List<RunRef> running) {
+    return running.stream().map(run -> new HoldAnswer.Running(run, 0)).toList();
+  }
+
   @Test
   public void freedRoomIsOfferedToTheOwnerWithTheMostUrgentWork() {
     waiting(FIRST, 2, 500, 1_101);
--- a/core/src/test/java/io/hingehoist/run/StandInWorker.java
+++ b/core/src/test/java/io/hingehoist/run/StandInWorker.java
@@ -25,6 +25,11 @@
     final long endsAtMs;
     final boolean fails;
 
+    /** Returns how much is done; runs begin at a moment that nobody asks for, and take 100 ms. */
+    private int percent(long nowMs) {
+      return Math.clamp(100 - (endsAtMs - nowMs), 0, 100);
+    }
+
     Run(RunRef ref, Room need, long endsAtMs, boolean fails) {
       this.ref = ref;
       this.need = need;
@@ -98,7 +103,11 @@
     token = callToken;
     extend(deadline, nowMs);
     ended.removeIf(end -> end.number() <= lastSeen);
-    return new HoldAnswer.Listed(clockMs(nowMs), List.copyOf(runs.keySet()), List.copyOf(ended));
+    List<HoldAnswer.Running> running =
+        runs.values().stream()
+            .map(run -> new HoldAnswer.Running(run.ref, run.percent(nowMs)))
+            .toList();
+    return new HoldAnswer.Listed(clockMs(nowMs), running, List.copyOf(ended));
   }
 
   private void extend(long deadline, long nowMs) {
--- a/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
+++ b/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
@@ -71,10 +71,15 @@
   }
 
   private void list(WorkerHost host, long nowMs, List<RunRef> running, HoldAnswer.Ended... ended) {
-    host.holdAnswered("w1", new HoldAnswer.Listed(500_000 + nowMs, running, List.of(ended)), nowMs);
+    host.holdAnswered(
+        "w1", new HoldAnswer.Listed(500_000 + nowMs, rows(running), List.of(ended)), nowMs);
     settle(host, nowMs);
   }
 
+  private static List<HoldAnswer.Running> rows(List<RunRef> running) {
+    return running.stream().map(run -> new HoldAnswer.Running(run, 0)).toList();
+  }
+
   @Test
   public void neverOrdersMoreThanTheWorkerHasRoomFor() {
     WorkerHost host = hostWithOwner(1_000);
@@ -127,9 +132,11 @@
     order(host, 1_000, run(0, 1));
     host.startAnswered("w1", run(0, 1), new StartAnswer.Started(501_000), 1_001);
     host.holdAnswered("w1", new HoldAnswer.Unanswered(), 1_120);
-    settle(host, 1_120);
-    HostEffect.CallHold next = all(HostEffect.CallHold.class).getFirst();
-    assertTrue(next.patience().timeoutMs() <= 60, "hides ends for " + next.patience());
+    list(host, 1_121, List.of(run(0, 1)));
+    assertEquals(all(HostEffect.CallHold.class).getFirst().waitMs(), 50);
+    host.holdAnswered("w1", new HoldAnswer.Unanswered(), 1_220);
+    list(host, 1_221, List.of(run(0, 1)));
+    assertEquals(all(HostEffect.CallHold.class).getFirst().waitMs(), 20);
   }
 
   @Test
@@ -427,4 +434,17 @@
     settle(host, 1_230);
     assertEquals(told(HostRows.class).size(), 1);
   }
+
+  @Test
+  public void aWorkerWhoseRunsStandStillIsShownToEveryOwner() {
+    WorkerHost host = hostWithOwner(1_000);
+    order(host, 1_000, run(0, 1), run(1, 1));
+    for (int i = 0; i < 2; i++) {
+      host.startAnswered("w1", run(i, 1), new StartAnswer.Started(501_000), 1_001);
+    }
+    list(host, 1_010, List.of(run(0, 1), run(1, 1)));
+    list(host, 1_060, List.of(run(0, 1), run(1, 1)));
+    list(host, 1_110, List.of(run(0, 1), run(1, 1)));
+    assertEquals(told(HostRows.class).getFirst().workers().getFirst().state(), WorkerState.STALLED);
+  }
 }
