Time-outs of answered calls are called off; announcements as often as before after a start; docs

Each call to a worker left a timer that fired after its answer, a wake-up of the loop for each.

Change: the timer goes with the answer. Announcements of a starting process come each 500 ms again, not each 250.

--- a/daemon/src/main/java/io/hingehoist/net/ControlLinks.java
+++ b/daemon/src/main/java/io/hingehoist/net/ControlLinks.java
@@ -33,7 +33,7 @@
   private static final long ANNOUNCE_MS = 1_000;
 
   /** After a start, when most others may have started as well, and for how long. */
-  private static final long EARLY_ANNOUNCE_MS = 250;
+  private static final long EARLY_ANNOUNCE_MS = 500;
 
   private static final long EARLY_MS = 4_000;
   private static final long KEPT_MS = 600_000;
--- a/daemon/src/main/java/io/hingehoist/net/EventLoop.java
+++ b/daemon/src/main/java/io/hingehoist/net/EventLoop.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -41,9 +42,10 @@
     loop.execute(guarded(task));
   }
 
-  /** Runs a task on the loop after a time. */
-  public void schedule(Runnable task, long delayMs) {
-    loop.schedule(guarded(task), delayMs, TimeUnit.MILLISECONDS);
+  /** Runs a task on the loop after a time. Returns how to call it off; called on the loop. */
+  public Runnable schedule(Runnable task, long delayMs) {
+    Future<?> scheduled = loop.schedule(guarded(task), delayMs, TimeUnit.MILLISECONDS);
+    return () -> scheduled.cancel(false);
   }
 
   /** Runs a task on the loop again and again. */
--- a/daemon/src/main/java/io/hingehoist/net/HttpCaller.java
+++ b/daemon/src/main/java/io/hingehoist/net/HttpCaller.java
@@ -151,13 +151,25 @@
   private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
     private Channel channel;
     private Optional<Waiting> open = Optional.empty();
-    private long callNumber;
+
+    /**
+     * Calls the time-out of the open call off. A timer for each answered call would wake a host
+     * some 70 times a second, one time in five, at 30 task starts a second.
+     */
+    private Runnable callOffTimeout = () -> {};
 
     private void send(Waiting next) {
       open = Optional.of(next);
-      long number = ++callNumber;
       channel.writeAndFlush(toRequest(next.call()), channel.voidPromise());
-      loop.schedule(() -> expire(number), next.call().timeoutMs());
+      callOffTimeout = loop.schedule(channel::close, next.call().timeoutMs());
+    }
+
+    /** Returns the call that was open, if one was; there is none any more. */
+    private Optional<Waiting> takeOpen() {
+      Optional<Waiting> taken = open;
+      open = Optional.empty();
+      callOffTimeout.run();
+      return taken;
     }
 
     private DefaultFullHttpRequest toRequest(Call call) {
@@ -176,29 +188,21 @@
       return request;
     }
 
-    private void expire(long number) {
-      if (open.isPresent() && callNumber == number) {
-        channel.close();
-      }
-    }
-
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-      if (open.isEmpty()) {
+      Optional<Waiting> answered = takeOpen();
+      if (answered.isEmpty()) {
         context.close();
         return;
       }
       byte[] body = new byte[response.content().readableBytes()];
       response.content().readBytes(body);
-      if (HttpUtil.isKeepAlive(response) && !closed) {
-        Waiting answered = open.get();
-        open = Optional.empty();
+      boolean kept = HttpUtil.isKeepAlive(response) && !closed;
+      if (kept) {
         idle.push(this);
-        reply(answered, new HttpReply.Answered(response.status().code(), body));
-      } else {
-        Waiting answered = open.get();
-        open = Optional.empty();
-        reply(answered, new HttpReply.Answered(response.status().code(), body));
+      }
+      reply(answered.get(), new HttpReply.Answered(response.status().code(), body));
+      if (!kept) {
         context.close();
       }
       serveWaiting();
@@ -216,11 +220,7 @@
     public void channelInactive(ChannelHandlerContext context) {
       connections--;
       idle.remove(this);
-      if (open.isPresent()) {
-        Waiting lost = open.get();
-        open = Optional.empty();
-        reply(lost, new HttpReply.Unanswered());
-      }
+      takeOpen().ifPresent(lost -> reply(lost, new HttpReply.Unanswered()));
       serveWaiting();
     }
 
