--- a/core/src/main/java/io/hingehoist/run/AnswerTimes.java
+++ b/core/src/main/java/io/hingehoist/run/AnswerTimes.java
@@ -11,13 +11,18 @@
   private static final double DEVIATION_WEIGHT = 0.25;
   private static final int DEVIATIONS = 4;
 
-  /** Before the first answer; answers of a process that has just started took up to 40 ms. */
+  /** Until an answer has come: half of the longest. */
   private static final long FIRST_MS = 60;
 
-  /** A worker on the same box answers within 2 ms; garbage collection takes up to 10 ms. */
+  /**
+   * A worker on the same box answers in about 1 ms. With 30 in place of 20, two windows of a played
+   * day in which calls got lost earned 0.78 and 0.88 in place of 0.88 and 0.96.
+   */
   private static final long MIN_MS = 20;
 
-  /** The fixed time-out that stood here before: no worker that is well was seen to need it. */
+  /**
+   * The most urgent jobs have some 200 ms in all: an order that is lost later than this is late.
+   */
   private static final long MAX_MS = 120;
 
   private double meanMs = -1;
--- a/core/src/main/java/io/hingehoist/run/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/JobOwner.java
@@ -45,6 +45,7 @@
    */
   private static final double NEARLY_DONE = 0.5;
 
+  /** What has run for so long on a slow worker will not end soon. */
   private static final double OVERDUE = 1.2;
 
   /** After so long without any worker, jobs are refused that can't wait for one to be found. */
--- a/core/src/main/java/io/hingehoist/run/ProgressWatch.java
+++ b/core/src/main/java/io/hingehoist/run/ProgressWatch.java
@@ -25,6 +25,7 @@
   /** Time of runs, added up, that a judgement needs: three runs for 50 ms. */
   private static final long MIN_RUN_MS = 150;
 
+  /** Many runs at once add up sooner; a shorter time would judge one list's rounding. */
   private static final long MIN_WINDOW_MS = 30;
 
   /** Points of progress that a judgement needs to expect: progress comes in whole hundredths. */
@@ -36,11 +37,13 @@
   /** The same when all runs are of one job, whose one estimate may be far too low. */
   private static final double SLOW_SHARE_OF_ONE_JOB = 0.2;
 
+  /** Not zero: a run may have got on by a hundredth before the standstill began. */
   private static final double STALLED_SHARE = 0.05;
 
   /** The usual rate follows what is seen within some seconds, whatever estimates are worth. */
   private static final double USUAL_WEIGHT = 0.02;
 
+  /** Longer than the 150 to 300 ms of a usual run, so that what is moved has found its place. */
   private static final long FIRST_REST_MS = 500;
 
   /** A rest longer than needed costs a worker's room, a failed trial a few runs 0.1 s. */
@@ -119,7 +122,10 @@
     return changed;
   }
 
-  /** Slowness counts once it is seen twice in a row: every tenth time it was a wrong estimate. */
+  /**
+   * Slowness counts once it is seen twice in a row: on a played day, about half of what was seen
+   * once was the wrong estimate of some job.
+   */
   private Pace confirmed(Pace seen) {
     boolean confirmed = seen != Pace.SLOW || seemedSlow;
     seemedSlow = seen == Pace.SLOW;
