Lost calls, growing pauses and orders of stops stand in one place each

Behaviour is as it was, assertions are unchanged (AnswerTimesTest passes a time, which its assertions don't use).

--- a/core/src/main/java/io/hingehoist/run/AnswerTimes.java
+++ b/core/src/main/java/io/hingehoist/run/AnswerTimes.java
@@ -1,7 +1,8 @@
 package io.hingehoist.run;
 
 /**
- * How long a call to a worker may take before it counts as lost, learned from the answers seen.
+ * How long a call to a worker may take before it counts as lost, learned from the answers seen, and
+ * whether calls get lost now.
  *
  * <p>The smoothed mean and deviation of RFC 6298 (retransmission timer of TCP), with its doubling
  * after each loss until the next answer. Not thread-safe: {@link WorkerHost} owns it.
@@ -25,9 +26,14 @@
    */
   private static final long MAX_MS = 120;
 
+  /** After two lost calls, for how long others are expected. */
+  private static final long LOSSY_FOR_MS = 2_000;
+
   private double meanMs = -1;
   private double deviationMs;
   private int lossesInARow;
+  private long lostAtMs = -LOSSY_FOR_MS;
+  private long lostBeforeAtMs = -LOSSY_FOR_MS;
 
   /** Notes an answer, and how long it took. */
   void noteAnswer(long tookMs) {
@@ -42,8 +48,15 @@
   }
 
   /** Notes that a call got no answer. */
-  void noteLoss() {
+  void noteLoss(long nowMs) {
     lossesInARow++;
+    lostBeforeAtMs = lostAtMs;
+    lostAtMs = nowMs;
+  }
+
+  /** Returns whether two calls were lost a moment ago: one may just have been slow. */
+  boolean losesCalls(long nowMs) {
+    return nowMs - lostBeforeAtMs < LOSSY_FOR_MS;
   }
 
   /** Returns the time after which a call that is sent now counts as lost. */
--- a/core/src/main/java/io/hingehoist/run/FailureWatch.java
+++ b/core/src/main/java/io/hingehoist/run/FailureWatch.java
@@ -10,28 +10,26 @@
   private static final long MAX_PAUSE_MS = 4_000;
 
   private int inARow;
-  private long pauseMs = FIRST_PAUSE_MS;
-  private long untilMs;
+  private final GrowingPause pause = new GrowingPause(FIRST_PAUSE_MS, MAX_PAUSE_MS);
 
   void noteDone() {
     inARow = 0;
-    pauseMs = FIRST_PAUSE_MS;
-    untilMs = 0;
+    pause.reset();
   }
 
   /** Notes a failed run; returns whether a pause begins with it. */
   boolean noteFailed(long nowMs) {
     inARow++;
-    if (inARow < ROW_OF_FAILURES || nowMs < untilMs) {
+    if (inARow < ROW_OF_FAILURES || pause.lasts(nowMs)) {
       return false;
     }
-    untilMs = nowMs + pauseMs;
-    pauseMs = Math.min(MAX_PAUSE_MS, 2 * pauseMs);
+    pause.begin(nowMs);
+    pause.grow();
     return true;
   }
 
   boolean isFailing(long nowMs) {
-    return nowMs < untilMs;
+    return pause.lasts(nowMs);
   }
 
   /**
--- a/core/src/main/java/io/hingehoist/run/ProgressWatch.java
+++ b/core/src/main/java/io/hingehoist/run/ProgressWatch.java
@@ -55,6 +55,7 @@
 
   private final Map<RunRef, Mark> marks = new HashMap<>();
   private final Set<String> jobs = new HashSet<>();
+  private final GrowingPause rest = new GrowingPause(FIRST_REST_MS, MAX_REST_MS);
   private double workMs;
   private double runMs;
   private double expectedPercent;
@@ -62,8 +63,6 @@
   private double usualRate = 1;
   private Pace pace = Pace.USUAL;
   private boolean seemedSlow;
-  private long restMs = FIRST_REST_MS;
-  private long restsUntilMs;
 
   /** Notes how far a run has got. */
   void noteProgress(HostedRun run, int percent, long nowMs) {
@@ -111,12 +110,12 @@
     boolean changed = judged != pace;
     if (judged == Pace.USUAL) {
       usualRate += USUAL_WEIGHT * (rate - usualRate);
-      restMs = FIRST_REST_MS;
-      restsUntilMs = nowMs;
+      rest.reset();
     } else {
-      boolean failedTrial = pace != Pace.USUAL && nowMs >= restsUntilMs;
-      restMs = failedTrial ? Math.min(MAX_REST_MS, 2 * restMs) : restMs;
-      restsUntilMs = nowMs + restMs;
+      if (isOnTrial() && !rest.lasts(nowMs)) {
+        rest.grow();
+      }
+      rest.begin(nowMs);
     }
     pace = judged;
     return changed;
@@ -150,7 +149,7 @@
 
   /** Returns the pace; a worker that has rested counts as usual until it is judged again. */
   Pace pace(long nowMs) {
-    return nowMs < restsUntilMs ? pace : Pace.USUAL;
+    return rest.lasts(nowMs) ? pace : Pace.USUAL;
   }
 
   /** Returns whether a few runs are enough to see whether the worker is well again. */
--- a/core/src/main/java/io/hingehoist/run/WorkerChoice.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerChoice.java
@@ -96,7 +96,7 @@
 
   private double score(WorkerView worker, OwnedTask task, long nowMs) {
     StepPlan step = task.plan();
-    double score = Rooms.shareLeft(step.need(), worker.free(), worker.row().capacity());
+    double score = worker.shareLeft(step.need());
     score -= SLOWNESS_COST * (speeds.slowness(worker.row().workerId(), nowMs) - 1);
     if (!step.near().isEmpty() && !worker.row().labels().contains(step.near())) {
       score -= FAR_COST;
--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -38,9 +38,6 @@
   /** The same while calls get lost: ends are hidden for 40 ms in place of 200. */
   private static final long LOSSY_WAIT_MS = 20;
 
-  /** After two lost calls, for how long others are expected. */
-  static final long LOSSY_FOR_MS = 2_000;
-
   private static final long IDLE_WAIT_MS = 300;
   private static final long SILENT_RETRY_MS = 50;
 
@@ -155,10 +152,6 @@
     effects.add(new HostEffect.ForgetAddress(life.info().address()));
   }
 
-  private Optional<WorkerLife> life(String workerId) {
-    return Optional.ofNullable(lives.get(workerId));
-  }
-
   // Owners.
 
   /** Notes a connection of an owner, and tells it when every run of its earlier ones is over. */
@@ -309,12 +302,12 @@
             run.spec,
             life.grantLease(nowMs),
             token,
-            patience(life, run)));
+            patience(life, run.unansweredCalls, 0)));
   }
 
-  private static HostEffect.Patience patience(WorkerLife life, HostedRun run) {
-    boolean fresh = run.unansweredCalls >= FRESH_CONNECTION_AFTER;
-    return new HostEffect.Patience(life.answerTimes.timeoutMs(), fresh);
+  private static HostEffect.Patience patience(WorkerLife life, int lostInARow, long waitMs) {
+    boolean fresh = lostInARow >= FRESH_CONNECTION_AFTER;
+    return new HostEffect.Patience(waitMs + life.answerTimes.timeoutMs(), fresh);
   }
 
   /** Stops a run on its owner's word. One that is not here is over. */
@@ -340,9 +333,13 @@
     run.stopSentAtMs = nowMs;
     run.calledAtMs = nowMs;
     run.stopIsOpen = true;
+    sendStop(life, run.run, run.unansweredCalls);
+  }
+
+  private void sendStop(WorkerLife life, RunRef run, int lostInARow) {
     effects.add(
         new HostEffect.CallStop(
-            life.id(), life.info().address(), run.run, token, patience(life, run)));
+            life.id(), life.info().address(), run, token, patience(life, lostInARow, 0)));
   }
 
   // Answers of workers.
@@ -396,7 +393,7 @@
    * out afterwards.
    */
   private void startUnanswered(WorkerLife life, HostedRun run, long nowMs) {
-    life.noteLostCall(nowMs);
+    life.answerTimes.noteLoss(nowMs);
     run.unansweredCalls++;
     String outcome = "run=" + run.run.number() + " calls=" + run.unansweredCalls;
     note("startUnanswered", run.run.task(), life.id(), outcome);
@@ -428,10 +425,11 @@
    * @param answered whether the worker said that it was carried out
    */
   public void stopAnswered(String workerId, RunRef run, boolean answered, long nowMs) {
-    life(workerId)
-        .flatMap(life -> life.find(run))
-        .filter(hosted -> hosted.state == HostedRun.State.STOPPING)
-        .ifPresent(hosted -> stopAnswered(lives.get(workerId), hosted, answered, nowMs));
+    WorkerLife life = lives.get(workerId);
+    Optional<HostedRun> found = life == null ? Optional.empty() : life.find(run);
+    if (found.isPresent() && found.get().state == HostedRun.State.STOPPING) {
+      stopAnswered(life, found.get(), answered, nowMs);
+    }
   }
 
   private void stopAnswered(WorkerLife life, HostedRun run, boolean answered, long nowMs) {
@@ -441,7 +439,7 @@
       run.stopSentAtMs = nowMs;
       return;
     }
-    life.noteLostCall(nowMs);
+    life.answerTimes.noteLoss(nowMs);
     run.unansweredCalls++;
     // A connection that is reset at once would be tried a thousand times a second.
     run.stopIsOpen = nowMs - run.calledAtMs >= MIN_STOP_PAUSE_MS;
@@ -470,7 +468,7 @@
       case HoldAnswer.Unanswered unanswered -> {
         // One lost call says nothing of the worker; to wait for the next would hide its ends.
         life.lostHolds++;
-        life.noteLostCall(nowMs);
+        life.answerTimes.noteLoss(nowMs);
         if (life.lostHolds == SILENT_AFTER_LOST_HOLDS) {
           note("workerSilent", "", life.id(), "runs=" + life.runs().size());
           life.silent = true;
@@ -580,8 +578,7 @@
   /** Stops a run that an earlier life of this host, or a late order, left behind. */
   private void stopStranger(WorkerLife life, RunRef run) {
     note("strangerStopped", run.task(), life.id(), "run=" + run.number());
-    HostEffect.Patience patience = new HostEffect.Patience(life.answerTimes.timeoutMs(), false);
-    effects.add(new HostEffect.CallStop(life.id(), life.info().address(), run, token, patience));
+    sendStop(life, run, 0);
   }
 
   private void over(WorkerLife life, HostedRun run, RunEnd how) {
@@ -615,12 +612,7 @@
             token,
             life.lastSeen,
             waitMs,
-            patience(life, waitMs)));
-  }
-
-  private static HostEffect.Patience patience(WorkerLife life, long waitMs) {
-    boolean fresh = life.lostHolds >= FRESH_CONNECTION_AFTER;
-    return new HostEffect.Patience(waitMs + life.answerTimes.timeoutMs(), fresh);
+            patience(life, life.lostHolds, waitMs)));
   }
 
   /** Until a list shows what is there no run is ordered, so none waits for the first one. */
@@ -631,7 +623,7 @@
     if (!life.hasRuns()) {
       return IDLE_WAIT_MS;
     }
-    long mostMs = life.losesCalls(nowMs) ? LOSSY_WAIT_MS : BUSY_WAIT_MS;
+    long mostMs = life.answerTimes.losesCalls(nowMs) ? LOSSY_WAIT_MS : BUSY_WAIT_MS;
     return Math.min(mostMs, untilStopsAreCarriedOut(life, nowMs));
   }
 
--- a/core/src/main/java/io/hingehoist/run/WorkerLife.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerLife.java
@@ -42,8 +42,6 @@
   long holdSentAtMs;
   long holdDueAtMs;
   int lostHolds;
-  private long lostCallAtMs = -WorkerHost.LOSSY_FOR_MS;
-  private long lostCallBeforeAtMs = -WorkerHost.LOSSY_FOR_MS;
 
   WorkerLife(WorkerInfo info, RunTiming timing, long nowMs) {
     this.info = info;
@@ -104,19 +102,6 @@
     return nowMs >= leaseOverAtMs;
   }
 
-  // Calls that get lost.
-
-  void noteLostCall(long nowMs) {
-    answerTimes.noteLoss();
-    lostCallBeforeAtMs = lostCallAtMs;
-    lostCallAtMs = nowMs;
-  }
-
-  /** Returns whether two calls were lost a moment ago: one may just have been slow. */
-  boolean losesCalls(long nowMs) {
-    return nowMs - lostCallBeforeAtMs < WorkerHost.LOSSY_FOR_MS;
-  }
-
   // Runs and room.
 
   /** Returns the room that may be given out: a part of it while the worker is on trial. */
--- a/core/src/test/java/io/hingehoist/run/AnswerTimesTest.java
+++ b/core/src/test/java/io/hingehoist/run/AnswerTimesTest.java
@@ -34,9 +34,9 @@
   public void lossesDoubleItUntilTheNextAnswer() {
     AnswerTimes times = new AnswerTimes();
     times.noteAnswer(1);
-    times.noteLoss();
+    times.noteLoss(0);
     assertEquals(times.timeoutMs(), 40);
-    times.noteLoss();
+    times.noteLoss(0);
     assertEquals(times.timeoutMs(), 80);
     times.noteAnswer(1);
     assertEquals(times.timeoutMs(), 20);
--- a/core/src/test/java/io/hingehoist/run/RoomOffersTest.java
+++ b/core/src/test/java/io/hingehoist/run/RoomOffersTest.java
@@ -48,8 +48,7 @@
   }
 
   private void list(long nowMs, List<RunRef> running, HoldAnswer.Ended... ended) {
-    host.holdAnswered(
-        "w", new HoldAnswer.Listed(500_000 + nowMs, rows(running), List.of(ended)), nowMs);
+    host.holdAnswered("w", HoldAnswers.listed(nowMs, running, ended), nowMs);
     settle(nowMs);
   }
 
@@ -88,10 +87,6 @@
         .count();
   }
 
-  private static List<HoldAnswer.Running> rows(List<RunRef> running) {
-    return running.stream().map(run -> new HoldAnswer.Running(run, 0)).toList();
-  }
-
   @Test
   public void freedRoomIsOfferedToTheOwnerWithTheMostUrgentWork() {
     waiting(FIRST, 2, 500, 1_101);
--- a/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
+++ b/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
@@ -71,15 +71,10 @@
   }
 
   private void list(WorkerHost host, long nowMs, List<RunRef> running, HoldAnswer.Ended... ended) {
-    host.holdAnswered(
-        "w1", new HoldAnswer.Listed(500_000 + nowMs, rows(running), List.of(ended)), nowMs);
+    host.holdAnswered("w1", HoldAnswers.listed(nowMs, running, ended), nowMs);
     settle(host, nowMs);
   }
 
-  private static List<HoldAnswer.Running> rows(List<RunRef> running) {
-    return running.stream().map(run -> new HoldAnswer.Running(run, 0)).toList();
-  }
-
   @Test
   public void neverOrdersMoreThanTheWorkerHasRoomFor() {
     WorkerHost host = hostWithOwner(1_000);
