--- a/core/src/main/java/io/hingehoist/run/WorkerLife.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerLife.java
@@ -4,7 +4,6 @@
 import io.hingehoist.message.RunRef;
 import io.hingehoist.message.WorkerRow;
 import io.hingehoist.message.WorkerState;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -155,7 +154,7 @@
         info.workerId(),
         info.service(),
         info.zone(),
-        new ArrayList<>(info.labels()),
+        info.labels(),
         info.capacity(),
         free,
         state(hostStops, nowMs));
--- a/daemon/src/main/java/io/hingehoist/metrics/Metrics.java
+++ b/daemon/src/main/java/io/hingehoist/metrics/Metrics.java
@@ -1,10 +1,14 @@
 package io.hingehoist.metrics;
 
+import io.hingehoist.message.Message;
+import io.prometheus.metrics.core.datapoints.CounterDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.DoubleSupplier;
 
 /** What a process counts. One registry a process, so that tests can run several. Thread-safe. */
@@ -87,6 +91,19 @@
           .labelNames("result")
           .register(registry);
 
+  /** The counters of one type of message in one direction. */
+  private record MessageCount(CounterDataPoint messages, CounterDataPoint bytes) {
+    private void add(int size) {
+      messages.inc();
+      bytes.inc(size);
+    }
+  }
+
+  /** A label is looked up once for each type of message, not with each of them. */
+  private final Map<Class<?>, MessageCount> sent = new ConcurrentHashMap<>();
+
+  private final Map<Class<?>, MessageCount> received = new ConcurrentHashMap<>();
+
   private Metrics() {}
 
   /** Creates an empty set of counters. */
@@ -100,15 +117,19 @@
   }
 
   /** Counts a message that was sent. */
-  public void noteSent(String type, int bytes) {
-    messages.labelValues("sent", type).inc();
-    messageBytes.labelValues("sent", type).inc(bytes);
+  public void noteSent(Message message, int bytes) {
+    sent.computeIfAbsent(message.getClass(), type -> count("sent", type)).add(bytes);
   }
 
   /** Counts a message that was received. */
-  public void noteReceived(String type, int bytes) {
-    messages.labelValues("received", type).inc();
-    messageBytes.labelValues("received", type).inc(bytes);
+  public void noteReceived(Message message, int bytes) {
+    received.computeIfAbsent(message.getClass(), type -> count("received", type)).add(bytes);
+  }
+
+  private MessageCount count(String direction, Class<?> type) {
+    String name = type.getSimpleName();
+    return new MessageCount(
+        messages.labelValues(direction, name), messageBytes.labelValues(direction, name));
   }
 
   /** Counts a frame that was not a message. */
--- a/daemon/src/main/java/io/hingehoist/net/PeerChannel.java
+++ b/daemon/src/main/java/io/hingehoist/net/PeerChannel.java
@@ -84,7 +84,7 @@
     ByteBuf frame = channel.alloc().buffer(LENGTH_BYTES + body.size());
     frame.writeInt(body.size());
     frame.writeBytes(body.asByteBuffer());
-    metrics.noteSent(message.getClass().getSimpleName(), body.size());
+    metrics.noteSent(message, body.size());
     channel.writeAndFlush(frame, channel.voidPromise());
     return true;
   }
@@ -122,7 +122,7 @@
       heardAtMs = EventLoop.nowMs();
       try {
         Message message = Message.fromBytes(Bytes.copyOf(body));
-        metrics.noteReceived(message.getClass().getSimpleName(), body.length);
+        metrics.noteReceived(message, body.length);
         guarded(() -> handler.onMessage(PeerChannel.this, message));
       } catch (IOException e) {
         metrics.noteBadFrame();
--- a/daemon/src/main/java/io/hingehoist/wire/FrameConnection.java
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameConnection.java
@@ -114,7 +114,7 @@
       throw new IOException("frame of " + length + " bytes, allowed 1 to " + MAX_FRAME_BYTES);
     }
     Message message = decode(readBody(in, length));
-    metrics.noteReceived(message.getClass().getSimpleName(), length);
+    metrics.noteReceived(message, length);
     handler.onMessage(this, message);
   }
 
@@ -158,7 +158,7 @@
     Bytes body = message.toBytes();
     out.writeInt(body.size());
     body.writeTo(out);
-    metrics.noteSent(message.getClass().getSimpleName(), body.size());
+    metrics.noteSent(message, body.size());
   }
 
   /** Closes the connection; what is queued is dropped. */
