A frame server that closes leaves no connection open

Cause of the known red test: a connection that was accepted while its server closed was added after the others were closed, and stayed open. A leader whose link to a replica ended there kept it for good: the replica that came back at the address was heard over its own links, so the leader's link was never renewed, nothing was appended to it and it never became a voter. Only where the closing node's process lives on, as in tests; a process that ends closes all. FrameServerTest fails without the change. A closing node's links are now closed after its control thread, which may still open some. The test's failure message holds the cluster's report.

--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -612,12 +612,13 @@
   public void close() {
     closed = true;
     server.close();
-    links.close();
     LockSupport.unpark(platformThread);
     try {
       controlThread.join(TimeUnit.SECONDS.toMillis(5));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
+    // Until it has ended, the control thread opens links.
+    links.close();
   }
 }
--- a/daemon/src/main/java/io/hingehoist/wire/FrameServer.java
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameServer.java
@@ -58,14 +58,21 @@
       try {
         Socket socket = listener.accept();
         connections.removeIf(connection -> !connection.isOpen());
-        connections.add(
-            FrameConnection.start(socket, handlers.get(), metrics, threads, maxQueuedFrames));
+        take(FrameConnection.start(socket, handlers.get(), metrics, threads, maxQueuedFrames));
       } catch (IOException e) {
         // The listener was closed, or one connection broke before it began.
       }
     }
   }
 
+  private void take(FrameConnection connection) {
+    connections.add(connection);
+    // One that is taken while this server closes would look open to its peer for good.
+    if (listener.isClosed()) {
+      connection.close();
+    }
+  }
+
   /** Stops taking connections and closes the open ones. */
   @Override
   public void close() {
--- a/daemon/src/test/java/io/hingehoist/quorum/FiveReplicasTest.java
+++ b/daemon/src/test/java/io/hingehoist/quorum/FiveReplicasTest.java
@@ -242,7 +242,7 @@
         return;
       }
     }
-    throw new AssertionError("replica " + index + " does not become a voter");
+    throw new AssertionError("replica " + index + " does not become a voter: " + status());
   }
 
   private String voterLine(int index, Identity identity) {
--- /dev/null
+++ b/daemon/src/test/java/io/hingehoist/wire/FrameServerTest.java
@@ -0,0 +1,53 @@
+package io.hingehoist.wire;
+
+import static org.testng.Assert.assertEquals;
+
+import io.hingehoist.message.Message;
+import io.hingehoist.metrics.Metrics;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
+import org.testng.annotations.Test;
+
+public final class FrameServerTest {
+  private static final int READ_TIMEOUT_MS = 10_000;
+  private static final int END = -1;
+
+  private static String freeAddress() throws IOException {
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      return "127.0.0.1:" + free.getLocalPort();
+    }
+  }
+
+  private static final class Deaf implements FrameHandler {
+    @Override
+    public void onMessage(FrameConnection connection, Message message) {}
+
+    @Override
+    public void onClosed(FrameConnection connection) {}
+  }
+
+  /** A connection that nobody serves looks open to its peer, who then never opens another. */
+  @Test
+  public void aConnectionThatIsTakenWhileTheServerClosesIsClosedAsWell() throws IOException {
+    CompletableFuture<FrameServer> opened = new CompletableFuture<>();
+    String address = freeAddress();
+    opened.complete(
+        FrameServer.open(
+            address,
+            () -> {
+              opened.join().close();
+              return new Deaf();
+            },
+            Metrics.create(),
+            Thread.ofVirtual().factory(),
+            16));
+    try (Socket socket = new Socket()) {
+      socket.connect(Addresses.toSocketAddress(address));
+      socket.setSoTimeout(READ_TIMEOUT_MS);
+      assertEquals(socket.getInputStream().read(), END);
+    }
+  }
+}
