An owner settles once an event, and keeps what a pass asks of every worker

Cause: each settling that had effects was followed by a second one that had nothing to do (an answer that frees a caller's connection settles by itself); each pass sorted all hosts anew; each look at a worker made two or three sums of room. Change: one settling, hosts sorted as they come and go, the free room kept in the view.

--- a/core/src/main/java/io/hingehoist/run/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/JobOwner.java
@@ -72,6 +72,11 @@
   private final WorkerChoice choice = new WorkerChoice(speeds);
   private final FollowedHosts followed;
   private final Map<String, HostView> hosts = new LinkedHashMap<>();
+  private List<HostView> followedViews = List.of();
+
+  /** Followed hosts first. */
+  private List<HostView> allViews = List.of();
+
   private final Map<String, OwnedJob> jobs = new LinkedHashMap<>();
   private final Map<String, OwnedTask> active = new HashMap<>();
   private final WaitingTasks waiting = new WaitingTasks();
@@ -188,6 +193,7 @@
     if (!hosts.containsKey(hostId)) {
       hosts.put(hostId, new HostView(hostId));
       followed.add(hostId, zone);
+      sortHosts();
       note("hostFound", "", "", hostId, "incarnation=" + incarnation);
       effects.add(new OwnerEffect.ToHost(hostId, report.last()));
     }
@@ -211,6 +217,7 @@
       return;
     }
     followed.remove(hostId);
+    sortHosts();
     long overAfterMs = silent ? timing.overAfterSilenceMs() : timing.overAfterBreakMs();
     note("hostLost", "", "", hostId, "silent=" + silent + " runsOverAfterMs=" + overAfterMs);
     for (OwnedTask task : active.values()) {
@@ -438,21 +445,26 @@
   private void tellWaiting(long nowMs) {
     if (report.isRested(followed.size(), nowMs) && report.isNews(waiting.rows(nowMs), nowMs)) {
       OwnerWaiting news = report.last();
-      for (String hostId : hosts.keySet()) {
-        if (followed.contains(hostId)) {
-          effects.add(new OwnerEffect.ToHost(hostId, news));
-        }
+      for (HostView host : followedViews) {
+        effects.add(new OwnerEffect.ToHost(host.hostId, news));
       }
     }
   }
 
   private PlacementPass newPass(long nowMs) {
-    List<HostView> near = new ArrayList<>();
-    List<HostView> rest = new ArrayList<>();
+    return new PlacementPass(choice, followedViews, allViews, nowMs);
+  }
+
+  /** Sorts the hosts by whether they are followed, which changes only as they come and go. */
+  private void sortHosts() {
+    followedViews = hosts.values().stream().filter(host -> followed.contains(host.hostId)).toList();
+    List<HostView> all = new ArrayList<>(followedViews);
     for (HostView host : hosts.values()) {
-      (followed.contains(host.hostId) ? near : rest).add(host);
+      if (!followed.contains(host.hostId)) {
+        all.add(host);
+      }
     }
-    return new PlacementPass(choice, near, rest, nowMs);
+    allViews = List.copyOf(all);
   }
 
   /**
--- a/core/src/main/java/io/hingehoist/run/PlacementPass.java
+++ b/core/src/main/java/io/hingehoist/run/PlacementPass.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.stream.Stream;
 
 /**
  * One pass over the tasks that wait, at one moment.
@@ -48,13 +47,13 @@
    * Begins a pass.
    *
    * @param followed the hosts that get work first: what is known of them is newer
-   * @param rest the others, which get what fits nowhere else
+   * @param all these and the others, which get what fits nowhere else
    */
   PlacementPass(
-      WorkerChoice choice, Collection<HostView> followed, Collection<HostView> rest, long nowMs) {
+      WorkerChoice choice, Collection<HostView> followed, Collection<HostView> all, long nowMs) {
     this.choice = choice;
     this.followed = followed;
-    this.all = rest.isEmpty() ? followed : Stream.concat(followed.stream(), rest.stream()).toList();
+    this.all = all;
     this.nowMs = nowMs;
   }
 
@@ -64,7 +63,7 @@
     if (beside.isPresent()) {
       return beside;
     }
-    if (misses.stream().anyMatch(miss -> miss.covers(task))) {
+    if (isMissed(task)) {
       return Optional.empty();
     }
     Optional<WorkerView> best = search(task);
@@ -77,6 +76,15 @@
     return best;
   }
 
+  private boolean isMissed(OwnedTask task) {
+    for (Miss miss : misses) {
+      if (miss.covers(task)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Returns whether a task may go where the last one of its step went, without a search. */
   private boolean isGoodBeside(WorkerView worker, OwnedTask task) {
     return lastPlaced.filter(task::isOfStepOf).isPresent()
--- a/core/src/main/java/io/hingehoist/run/WorkerView.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerView.java
@@ -18,8 +18,11 @@
   private WorkerRow row;
   private Room unseenNeed = Rooms.none();
 
-  /** Room of this owner's runs that ended after the row was written. */
-  private Room freed = Rooms.none();
+  /**
+   * The row's free room less the unseen orders, with what ended since. Each task that is placed
+   * asks every worker for it.
+   */
+  private Room free;
 
   private long avoidedUntilMs;
   private int activeRuns;
@@ -27,6 +30,7 @@
   WorkerView(String hostId, WorkerRow row) {
     this.hostId = hostId;
     this.row = row;
+    this.free = row.free();
   }
 
   WorkerRow row() {
@@ -35,7 +39,6 @@
 
   void update(WorkerRow newRow, long lastOrder) {
     row = newRow;
-    freed = Rooms.none();
     unseen.removeIf(
         order -> {
           boolean seen = order.order() <= lastOrder;
@@ -44,6 +47,7 @@
           }
           return seen;
         });
+    free = Rooms.minus(row.free(), unseenNeed);
   }
 
   int activeRuns() {
@@ -58,13 +62,14 @@
     activeRuns++;
     unseen.add(new Unseen(order, need));
     unseenNeed = Rooms.plus(unseenNeed, need);
+    free = Rooms.minus(free, need);
   }
 
   void noteEnd(Room need) {
     activeRuns--;
     // A worker that is nearly full is shared out by its host, which may offer the room to another.
     if (!Rooms.isTight(row.free(), row.capacity())) {
-      freed = Rooms.plus(freed, need);
+      free = Rooms.plus(free, need);
     }
   }
 
@@ -72,8 +77,9 @@
     avoidedUntilMs = Math.max(avoidedUntilMs, untilMs);
   }
 
+  /** Returns the room that the row shows and this owner has not given out or got back since. */
   Room free() {
-    return Rooms.minus(Rooms.plus(row.free(), freed), unseenNeed);
+    return free;
   }
 
   /** Returns the share of the worker that stays free beside a further run, by its scarcest part. */
--- a/core/src/test/java/io/hingehoist/run/PlacementPassTest.java
+++ b/core/src/test/java/io/hingehoist/run/PlacementPassTest.java
@@ -56,7 +56,7 @@
   public void open() {
     HostView host = host("h", "r1", new Room(1_000, 1_000, 0));
     hosts = new CountedHosts(List.of(host));
-    pass = new PlacementPass(new WorkerChoice(new SpeedTable()), hosts, List.of(), 0);
+    pass = new PlacementPass(new WorkerChoice(new SpeedTable()), hosts, hosts, 0);
   }
 
   private static OwnedTask task(String jobId, StepPlan step) {
@@ -111,7 +111,8 @@
     HostView followed = host("followed", "r1", new Room(600, 1_000, 0));
     HostView other = host("other", "r2", CAPACITY);
     PlacementPass both =
-        new PlacementPass(new WorkerChoice(new SpeedTable()), List.of(followed), List.of(other), 0);
+        new PlacementPass(
+            new WorkerChoice(new SpeedTable()), List.of(followed), List.of(followed, other), 0);
 
     assertEquals(chosen(both, task("a", step(SMALL, "", 0))), "followed");
     assertEquals(chosen(both, task("b", step(LARGE, "", 0))), "other");
@@ -122,7 +123,8 @@
     HostView followed = host("followed", "r1", CAPACITY);
     HostView other = host("other", "r2", CAPACITY);
     PlacementPass both =
-        new PlacementPass(new WorkerChoice(new SpeedTable()), List.of(followed), List.of(other), 0);
+        new PlacementPass(
+            new WorkerChoice(new SpeedTable()), List.of(followed), List.of(followed, other), 0);
     StepPlan atItsData = new StepPlan(1, SMALL, 100, List.of(), "", "r2", 0);
 
     assertEquals(chosen(both, task("a", atItsData)), "other");
@@ -147,7 +149,7 @@
 
   private static PlacementPass passOver(HostView... hosts) {
     return new PlacementPass(
-        new WorkerChoice(new SpeedTable()), List.of(hosts), List.of(), /* nowMs= */ 0);
+        new WorkerChoice(new SpeedTable()), List.of(hosts), List.of(hosts), /* nowMs= */ 0);
   }
 
   @Test
@@ -178,7 +180,7 @@
       speeds.noteRun(i % 10 == 0 ? "h-w" : "other", i % 10 == 0 ? 220 : 100, 100, nowMs);
     }
     List<HostView> hosts = List.of(host("h", "r1", CAPACITY));
-    return new PlacementPass(new WorkerChoice(speeds), hosts, List.of(), nowMs);
+    return new PlacementPass(new WorkerChoice(speeds), hosts, hosts, nowMs);
   }
 
   /** Returns a task of some 50 ms whose job was taken at 0 and has 300 ms. */
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -31,7 +31,6 @@
 import io.hingehoist.wire.Addresses;
 import java.io.IOException;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -213,12 +212,8 @@
   private void settle() {
     settling = false;
     jobs.place(EventLoop.nowMs());
-    List<OwnerEffect> effects = jobs.takeEffects();
-    effects.forEach(this::carryOut);
-    if (!effects.isEmpty()) {
-      // An answer may have freed a caller's connection for its next job.
-      settleLater();
-    }
+    // An answer may free a caller's connection for its next job, which settles by itself.
+    jobs.takeEffects().forEach(this::carryOut);
   }
 
   private void carryOut(OwnerEffect effect) {
