Hosts say who their workers are once a connection

Change: HostRooms shows the workers of the connection's last HostRows by what may have changed, 20 bytes for one worker.

--- a/daemon/src/main/java/io/hingehoist/host/OwnerLinks.java
+++ b/daemon/src/main/java/io/hingehoist/host/OwnerLinks.java
@@ -1,6 +1,7 @@
 package io.hingehoist.host;
 
 import io.hingehoist.message.Hello;
+import io.hingehoist.message.HostRows;
 import io.hingehoist.message.Message;
 import io.hingehoist.message.Peer;
 import io.hingehoist.metrics.Metrics;
@@ -8,6 +9,7 @@
 import io.hingehoist.net.PeerChannel;
 import io.hingehoist.net.PeerHandler;
 import io.hingehoist.net.PeerLink;
+import io.hingehoist.run.SentRows;
 import io.hingehoist.wire.FrameConnection;
 import java.util.HashMap;
 import java.util.List;
@@ -27,12 +29,14 @@
     void onEnded(long sessionId);
   }
 
+  private record Session(PeerChannel channel, SentRows rows) {}
+
   private final EventLoop loop;
   private final Peer self;
   private final Metrics metrics;
   private final Listener listener;
   private final Map<String, PeerLink> links = new HashMap<>();
-  private final Map<Long, PeerChannel> sessions = new HashMap<>();
+  private final Map<Long, Session> sessions = new HashMap<>();
 
   OwnerLinks(EventLoop loop, Peer self, Metrics metrics, Listener listener) {
     this.loop = loop;
@@ -66,16 +70,17 @@
   }
 
   void send(long sessionId, Message message) {
-    PeerChannel channel = sessions.get(sessionId);
-    if (channel != null) {
-      channel.send(message);
+    Session session = sessions.get(sessionId);
+    if (session != null) {
+      Message shortest = message instanceof HostRows rows ? session.rows().toSend(rows) : message;
+      session.channel().send(shortest);
     }
   }
 
   void close(long sessionId) {
-    PeerChannel channel = sessions.remove(sessionId);
-    if (channel != null) {
-      channel.close();
+    Session session = sessions.remove(sessionId);
+    if (session != null) {
+      session.channel().close();
     }
   }
 
@@ -88,7 +93,7 @@
 
     @Override
     public void onOpen(PeerChannel channel) {
-      sessions.put(channel.id(), channel);
+      sessions.put(channel.id(), new Session(channel, SentRows.create()));
       listener.onBegan(channel.id(), address);
     }
 
--- a/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
+++ b/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
@@ -2,6 +2,8 @@
 
 import io.hingehoist.message.Announce;
 import io.hingehoist.message.Hello;
+import io.hingehoist.message.HostRooms;
+import io.hingehoist.message.HostRows;
 import io.hingehoist.message.Message;
 import io.hingehoist.message.OwnerBeat;
 import io.hingehoist.message.Peer;
@@ -13,6 +15,7 @@
 import io.hingehoist.net.PeerHandler;
 import io.hingehoist.net.PeerLink;
 import io.hingehoist.net.PeerServer;
+import io.hingehoist.run.ReceivedRows;
 import io.hingehoist.wire.FrameConnection;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -49,6 +52,7 @@
   private static final class Session {
     private final PeerChannel channel;
     private final long beganAtMs;
+    private final ReceivedRows rows = ReceivedRows.create();
 
     private Session(PeerChannel channel, long nowMs) {
       this.channel = channel;
@@ -170,10 +174,25 @@
       switch (message) {
         case SessionOpened opened -> listener.onOpened(host, opened);
         case Announce announce -> listener.onAnnounce(announce.self());
+        case HostRows rows -> {
+          session.rows.take(rows);
+          listener.onMessage(host, rows);
+        }
+        case HostRooms rooms -> receive(host, session, rooms);
         default -> listener.onMessage(host, message);
       }
     }
 
+    private void receive(String host, Session session, HostRooms rooms) {
+      Optional<HostRows> rows = session.rows.expand(rooms);
+      if (rows.isPresent()) {
+        listener.onMessage(host, rows.get());
+      } else {
+        metrics.noteBadFrame();
+        session.channel.close();
+      }
+    }
+
     @Override
     public void onClosed(PeerChannel channel) {
       if (hostId.isPresent()) {
