Played orders: a run that begins after it was given up, and one whose starter is gone

Two cases of a task that runs on after its job was cancelled: a start that a worker carries out seconds later, and a run whose host was removed. Both held already: the run is a stranger to the host, is stopped with each list that shows it, and no room is given out meanwhile.

--- a/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
+++ b/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
@@ -442,4 +442,45 @@
     list(host, 1_110, List.of(run(0, 1), run(1, 1)));
     assertEquals(told(HostRows.class).getFirst().workers().getFirst().state(), WorkerState.STALLED);
   }
+
+  /** A start without an answer may be carried out seconds later, when its job is long cancelled. */
+  @Test
+  public void aRunThatBeginsAfterItWasGivenUpIsStoppedAndKeepsRoomFromOthers() {
+    WorkerHost host = hostWithOwner(1_000);
+    host.ownerBeat(SESSION, 1_000, true, 1_000);
+    order(host, 1_000, run(0, 1));
+    for (int call = 1; call <= 3; call++) {
+      host.startAnswered("w1", run(0, 1), new StartAnswer.Unanswered(), 1_000 + 30 * call);
+      host.holdAnswered("w1", new HoldAnswer.Unanswered(), 1_000 + 30 * call);
+    }
+    host.stopRun(SESSION, run(0, 1), 1_100);
+    long lostAtMs = 1_090 + QUIET_MS;
+    host.ownerBeat(SESSION, lostAtMs, true, lostAtMs);
+    host.onTick(lostAtMs);
+    settle(host, lostAtMs);
+    assertEquals(told(RunEnded.class), List.of(new RunEnded(run(0, 1), RunEnd.LOST, 0)));
+
+    list(host, 4_000, List.of(run(0, 1)));
+    assertEquals(all(HostEffect.CallStop.class).getFirst().run(), run(0, 1));
+    host.ownerBeat(SESSION, 4_000, true, 4_000);
+    settle(host, 4_000);
+    assertEquals(told(HostRows.class).getFirst().workers().getFirst().state(), WorkerState.SILENT);
+    list(host, 4_060, List.of(), new HoldAnswer.Ended(1, run(0, 1), RunEnd.STOPPED));
+    order(host, 4_061, run(1, 1));
+    assertEquals(all(HostEffect.CallStart.class).size(), 1);
+  }
+
+  /** The host that started it is gone; the one that took its place on the box never ordered it. */
+  @Test
+  public void aRunWhoseStarterWasRemovedIsStoppedUntilItsEndIsListed() {
+    WorkerHost successor = WorkerHost.create("h", 2, "z", TIMING, 200, 1_000);
+    successor.workerSeen(worker("w1", false, 1), 1_000);
+    list(successor, 1_002, List.of(run(0, 1)));
+    assertEquals(all(HostEffect.CallStop.class).getFirst().run(), run(0, 1));
+    successor.stopAnswered("w1", run(0, 1), false, 1_030);
+    list(successor, 1_060, List.of(run(0, 1)));
+    assertEquals(all(HostEffect.CallStop.class).getFirst().run(), run(0, 1));
+    list(successor, 1_120, List.of());
+    assertEquals(all(HostEffect.CallStop.class), List.of());
+  }
 }
