A task that leaves a slow worker's room says nothing of tasks with more time

Cause: a pass remembers what fitted nowhere and passes over whatever needs as much. Since a slow worker is left to what is in time there, a task that waits for a faster one was remembered as well, and kept late and patient tasks from that worker for the rest of the pass. Test first: PlacementPassTest failed without the change.

--- a/core/src/main/java/io/hingehoist/run/PlacementPass.java
+++ b/core/src/main/java/io/hingehoist/run/PlacementPass.java
@@ -116,10 +116,13 @@
         task.job.plan.service(), service -> choice.mayLeaveOut(service, all, nowMs));
   }
 
-  /** A task that may not share its worker with others of its step says nothing of other steps. */
+  /**
+   * A task that may not share its worker with others of its step says nothing of other steps, nor
+   * does one that leaves a slow worker's room to those that have more time.
+   */
   private void noteMiss(OwnedTask task) {
     StepPlan step = task.plan();
-    if (step.mostPerWorker() == 0) {
+    if (step.mostPerWorker() == 0 && !choice.waitsForFaster(task, all, leavesOut(task), nowMs)) {
       misses.add(new Miss(task.job.plan.service(), step.requires(), step.need()));
     }
   }
--- a/core/src/main/java/io/hingehoist/run/WorkerChoice.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerChoice.java
@@ -80,6 +80,23 @@
 
   /** Returns whether a worker may get a task now, and has room for it. */
   boolean isFit(WorkerView worker, OwnedTask task, boolean leavesOut, long nowMs) {
+    return hasPlace(worker, task, leavesOut, nowMs) && !wouldMakeLate(worker, task, nowMs);
+  }
+
+  /** Returns whether a task waits though a worker has room, as it would be late there. */
+  boolean waitsForFaster(
+      OwnedTask task, Collection<HostView> hosts, boolean leavesOut, long nowMs) {
+    for (HostView host : hosts) {
+      for (WorkerView worker : host.workers()) {
+        if (wouldMakeLate(worker, task, nowMs) && hasPlace(worker, task, leavesOut, nowMs)) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
+  private boolean hasPlace(WorkerView worker, OwnedTask task, boolean leavesOut, long nowMs) {
     StepPlan step = task.plan();
     boolean takes = worker.takesRuns(nowMs) || (!leavesOut && worker.isUnwell());
     if (!takes || !worker.row().service().equals(task.job.plan.service())) {
@@ -95,9 +112,6 @@
         && task.job.countOn(worker.row().workerId(), task.step) >= step.mostPerWorker()) {
       return false;
     }
-    if (wouldMakeLate(worker, task, nowMs)) {
-      return false;
-    }
     return !leavesOut || !(isSlow(worker, nowMs) || isBusyOnTrial(worker, nowMs));
   }
 
--- a/core/src/test/java/io/hingehoist/run/PlacementPassTest.java
+++ b/core/src/test/java/io/hingehoist/run/PlacementPassTest.java
@@ -200,4 +200,11 @@
   public void aTaskThatIsLateAnywayTakesASlowWorker() {
     assertTrue(passOverSlowWorker(290).choose(shortTask()).isPresent());
   }
+
+  @Test
+  public void aTaskThatWaitsForAnotherWorkerSaysNothingOfThoseThatHaveMoreTime() {
+    PlacementPass pass = passOverSlowWorker(220);
+    assertTrue(pass.choose(shortTask()).isEmpty());
+    assertTrue(pass.choose(task("b", step(SMALL, "", 0))).isPresent());
+  }
 }
