No start is repeated for an owner whose lease is over

A host stood still for 2.7 s after it had called a start; the call was lost, and when the host went on it heard of that first of all and sent the same start again with a new deadline, while the owner had given the host up, waited until the run was provably over, and started the task elsewhere. The same for starts that are answered with an old token or deadline. Ruled out: the owner's waiting time (1,616 ms, as written), the lease clock (over in time), the order of messages. Change: a start is repeated only while the owner's session is open and its lease holds; else the number is barred by a stop.

--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -397,7 +397,7 @@
     run.unansweredCalls++;
     String outcome = "run=" + run.run.number() + " calls=" + run.unansweredCalls;
     note("startUnanswered", run.run.task(), life.id(), outcome);
-    if (run.state == HostedRun.State.ORDERED && run.unansweredCalls < MAX_STARTS) {
+    if (mayStart(run, nowMs) && run.unansweredCalls < MAX_STARTS) {
       callStart(life, run, nowMs);
     } else {
       run.state = HostedRun.State.STOPPING;
@@ -405,8 +405,17 @@
     }
   }
 
+  /**
+   * Answers may be heard long after they came, by a host that stood still: an owner whose lease is
+   * over may have started the task elsewhere.
+   */
+  private boolean mayStart(HostedRun run, long nowMs) {
+    return run.state == HostedRun.State.ORDERED
+        && sessions.find(run.sessionId).filter(s -> !s.lease.isOver(nowMs)).isPresent();
+  }
+
   private void repeatStart(WorkerLife life, HostedRun run, long nowMs) {
-    if (run.state == HostedRun.State.ORDERED) {
+    if (mayStart(run, nowMs)) {
       callStart(life, run, nowMs);
     } else {
       over(life, run, RunEnd.STOPPED);
--- a/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
+++ b/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
@@ -483,4 +483,27 @@
     list(successor, 1_120, List.of());
     assertEquals(all(HostEffect.CallStop.class), List.of());
   }
+
+  /** Returns what the host does about a start whose answer it hears after it stood still. */
+  private void hearsOfAStartTooLate(StartAnswer answer) {
+    WorkerHost host = hostWithOwner(1_000);
+    host.ownerBeat(SESSION, 1_000, true, 1_000);
+    order(host, 1_010, run(0, 1));
+    host.startAnswered("w1", run(0, 1), answer, 1_010 + TIMING.ownerLeaseMs());
+    settle(host, 1_010 + TIMING.ownerLeaseMs());
+  }
+
+  /** The owner has given this host up meanwhile, and may have started the task elsewhere. */
+  @Test
+  public void noStartIsRepeatedForAnOwnerWhoseLeaseIsOver() {
+    hearsOfAStartTooLate(new StartAnswer.Unanswered());
+    assertEquals(all(HostEffect.CallStart.class), List.of());
+    assertEquals(all(HostEffect.CallStop.class).getFirst().run(), run(0, 1));
+
+    hearsOfAStartTooLate(new StartAnswer.Fenced(501_000));
+    assertEquals(all(HostEffect.CallStart.class), List.of());
+
+    hearsOfAStartTooLate(new StartAnswer.Late(501_000));
+    assertEquals(all(HostEffect.CallStart.class), List.of());
+  }
 }
