--- a/core/src/main/java/io/hingehoist/run/WaitingTasks.java
+++ b/core/src/main/java/io/hingehoist/run/WaitingTasks.java
@@ -65,32 +65,47 @@
    * the first of them is, and how many like it follow.
    */
   List<WaitingRow> rows(long nowMs) {
-    Map<String, WaitingRow> rows = new LinkedHashMap<>();
-    addRows(inTime, 0, rows, nowMs);
-    addRows(late, LATE_RANK, rows, nowMs);
-    return List.copyOf(rows.values());
+    Map<String, First> byService = new LinkedHashMap<>();
+    count(inTime, 0, byService, nowMs);
+    count(late, LATE_RANK, byService, nowMs);
+    List<WaitingRow> rows = new ArrayList<>();
+    byService.forEach(
+        (service, first) ->
+            rows.add(new WaitingRow(service, first.rank, first.waitedMs, first.taskCount)));
+    return rows;
   }
 
-  private static void addRows(
-      TreeSet<OwnedTask> tasks, int rankAdded, Map<String, WaitingRow> rows, long nowMs) {
+  /** The first task that waits for a service, and how many as urgent as it have been seen. */
+  private static final class First {
+    private final int rank;
+    private final long waitedMs;
+    private int taskCount;
+
+    private First(int rank, long waitedMs) {
+      this.rank = rank;
+      this.waitedMs = waitedMs;
+    }
+  }
+
+  private static void count(
+      TreeSet<OwnedTask> tasks, int rankAdded, Map<String, First> byService, long nowMs) {
     int seen = 0;
     for (OwnedTask task : tasks) {
       if (++seen > MAX_COUNTED) {
         return;
       }
       int rank = task.job.plan.priority() + rankAdded;
-      long waitedMs = nowMs - task.job.takenAtMs;
-      WaitingRow first = new WaitingRow(task.job.plan.service(), rank, waitedMs, 1);
-      rows.merge(first.service(), first, WaitingTasks::withOneMore);
+      First first = byService.get(task.job.plan.service());
+      if (first == null) {
+        first = new First(rank, nowMs - task.job.takenAtMs);
+        byService.put(task.job.plan.service(), first);
+      }
+      if (first.rank == rank) {
+        first.taskCount++;
+      }
     }
   }
 
-  /** Tasks that are less urgent than the first are not counted with it. */
-  private static WaitingRow withOneMore(WaitingRow row, WaitingRow next) {
-    int taskCount = next.rank() == row.rank() ? row.taskCount() + 1 : row.taskCount();
-    return new WaitingRow(row.service(), row.rank(), row.waitedMs(), taskCount);
-  }
-
   /**
    * Puts tasks behind that can't be in time any more.
    *
--- a/daemon/src/main/java/io/hingehoist/metrics/Metrics.java
+++ b/daemon/src/main/java/io/hingehoist/metrics/Metrics.java
@@ -11,7 +11,12 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.DoubleSupplier;
 
-/** What a process counts. One registry a process, so that tests can run several. Thread-safe. */
+/**
+ * What a process counts. One registry a process, so that tests can run several. Thread-safe.
+ *
+ * <p>Without exemplars: nothing here is traced, and their sampler keeps a thread that took 0.05 of
+ * 2 s of a host's processor time, woken by what is counted ({@code ./bench --profile}).
+ */
 public final class Metrics {
   private static final double[] SECONDS = {
     0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30
@@ -21,35 +26,41 @@
   private final Counter messages =
       Counter.builder()
           .name("hingehoist_messages_total")
+          .withoutExemplars()
           .help("Messages between processes, by direction and type.")
           .labelNames("direction", "type")
           .register(registry);
   private final Counter messageBytes =
       Counter.builder()
           .name("hingehoist_message_bytes_total")
+          .withoutExemplars()
           .help("Bytes of messages between processes, by direction and type.")
           .labelNames("direction", "type")
           .register(registry);
   private final Counter badFrames =
       Counter.builder()
           .name("hingehoist_bad_frames_total")
+          .withoutExemplars()
           .help("Frames that were not a message; the connection was closed.")
           .register(registry);
   private final Counter outcomes =
       Counter.builder()
           .name("hingehoist_outcomes_total")
+          .withoutExemplars()
           .help("Answers to callers, by kind of submission and outcome.")
           .labelNames("kind", "outcome")
           .register(registry);
   private final Counter refusals =
       Counter.builder()
           .name("hingehoist_refusals_total")
+          .withoutExemplars()
           .help("Submissions refused before they ran, by cause.")
           .labelNames("cause")
           .register(registry);
   private final Histogram answerSeconds =
       Histogram.builder()
           .name("hingehoist_answer_seconds")
+          .withoutExemplars()
           .help("Time from a submission to its answer, by kind.")
           .labelNames("kind")
           .classicOnly()
@@ -58,6 +69,7 @@
   private final Histogram syncSeconds =
       Histogram.builder()
           .name("hingehoist_journal_sync_seconds")
+          .withoutExemplars()
           .help("Time of one synced write of the journal.")
           .classicOnly()
           .classicUpperBounds(SECONDS)
@@ -65,11 +77,13 @@
   private final Counter journalBytes =
       Counter.builder()
           .name("hingehoist_journal_bytes_total")
+          .withoutExemplars()
           .help("Bytes written to the journal.")
           .register(registry);
   private final Counter elections =
       Counter.builder()
           .name("hingehoist_role_changes_total")
+          .withoutExemplars()
           .help("Changes of this replica's role or leader, by new role.")
           .labelNames("role")
           .register(registry);
@@ -81,12 +95,14 @@
   private final Counter tasks =
       Counter.builder()
           .name("hingehoist_tasks_total")
+          .withoutExemplars()
           .help("Tasks that the backend server ended, by state.")
           .labelNames("state")
           .register(registry);
   private final Counter audits =
       Counter.builder()
           .name("hingehoist_settings_changes_total")
+          .withoutExemplars()
           .help("Changes of settings applied, by result.")
           .labelNames("result")
           .register(registry);
