Lost sessions say how long nothing was heard, how old the last heartbeat was, and what they cost

The logs could not tell whether a session was given up for a silent connection or for a lost process, nor how many runs it cost. Logs only, no change of logic.

--- a/core/src/main/java/io/hingehoist/run/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/JobOwner.java
@@ -219,13 +219,17 @@
     followed.remove(hostId);
     sortHosts();
     long overAfterMs = silent ? timing.overAfterSilenceMs() : timing.overAfterBreakMs();
-    note("hostLost", "", "", hostId, "silent=" + silent + " runsOverAfterMs=" + overAfterMs);
+    int uncertain = 0;
     for (OwnedTask task : active.values()) {
       if (task.hostId.equals(hostId) && task.state == OwnedTask.State.ORDERED) {
         task.state = OwnedTask.State.UNCERTAIN;
         task.uncertainUntilMs = nowMs + overAfterMs;
+        uncertain++;
       }
     }
+    String outcome =
+        "silent=%s runsUncertain=%d runsOverAfterMs=%d".formatted(silent, uncertain, overAfterMs);
+    note("hostLost", "", "", hostId, outcome);
   }
 
   /** Returns whether a host is to show each change at once, and not only with each heartbeat. */
--- a/core/src/main/java/io/hingehoist/run/LeaseClock.java
+++ b/core/src/main/java/io/hingehoist/run/LeaseClock.java
@@ -29,6 +29,11 @@
     untilMs = Math.max(untilMs, sentAtMs + differenceMs + leaseMs);
   }
 
+  /** Returns how long ago the beat was sent that the lease counts from. */
+  long ageMs(long nowMs) {
+    return nowMs - (untilMs - leaseMs);
+  }
+
   boolean isOver(long nowMs) {
     return nowMs >= untilMs;
   }
--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -223,15 +223,20 @@
   }
 
   private void dropOwner(OwnerSession session, String reason, long nowMs) {
-    note("ownerLost", "", session.ownerId, "reason=" + reason);
+    int stopped = 0;
     for (WorkerLife life : lives.values()) {
       life.offers.forget(session.id);
       for (HostedRun run : life.runs()) {
         if (run.sessionId == session.id) {
           stop(life, run, nowMs);
+          stopped++;
         }
       }
     }
+    String outcome =
+        "reason=%s beatAgeMs=%d runsStopped=%d"
+            .formatted(reason, session.lease.ageMs(nowMs), stopped);
+    note("ownerLost", "", session.ownerId, outcome);
   }
 
   /** Starts the runs of an order, as far as they may start. */
--- a/daemon/src/main/java/io/hingehoist/host/HostNode.java
+++ b/daemon/src/main/java/io/hingehoist/host/HostNode.java
@@ -217,7 +217,9 @@
     }
 
     @Override
-    public void onEnded(long sessionId) {
+    public void onEnded(long sessionId, long heardAgoMs) {
+      log.write(
+          "connectionEnded", node.nodeId(), "session=" + sessionId + " heardAgoMs=" + heardAgoMs);
       host.sessionEnded(sessionId, "connection closed", EventLoop.nowMs());
       settleLater();
     }
--- a/daemon/src/main/java/io/hingehoist/host/OwnerLinks.java
+++ b/daemon/src/main/java/io/hingehoist/host/OwnerLinks.java
@@ -26,7 +26,12 @@
 
     void onMessage(long sessionId, Message message);
 
-    void onEnded(long sessionId);
+    /**
+     * Notes the end of a connection.
+     *
+     * @param heardAgoMs the time since something was last heard on it
+     */
+    void onEnded(long sessionId, long heardAgoMs);
   }
 
   private record Session(PeerChannel channel, SentRows rows) {}
@@ -107,7 +112,7 @@
     @Override
     public void onClosed(PeerChannel channel) {
       sessions.remove(channel.id());
-      listener.onEnded(channel.id());
+      listener.onEnded(channel.id(), EventLoop.nowMs() - channel.heardAtMs());
     }
   }
 
--- a/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
+++ b/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
@@ -41,7 +41,13 @@
 
     void onMessage(String hostId, Message message);
 
-    void onLost(String hostId, boolean silent);
+    /**
+     * Notes that a session is over.
+     *
+     * @param silent whether this owner gave it up
+     * @param heardAgoMs the time since something was last heard on it
+     */
+    void onLost(String hostId, boolean silent, long heardAgoMs);
 
     void onAnnounce(Peer peer);
 
@@ -139,7 +145,7 @@
     Session session = sessions.remove(hostId);
     if (session != null) {
       session.channel.close();
-      listener.onLost(hostId, silent);
+      listener.onLost(hostId, silent, EventLoop.nowMs() - session.channel.heardAtMs());
     }
   }
 
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -348,7 +348,8 @@
     }
 
     @Override
-    public void onLost(String hostId, boolean silent) {
+    public void onLost(String hostId, boolean silent, long heardAgoMs) {
+      log.write("hostUnheard", hostId, "silent=" + silent + " heardAgoMs=" + heardAgoMs);
       jobs.sessionLost(hostId, silent, EventLoop.nowMs());
       settleLater();
     }
