--- a/benchmark/src/main/java/io/hingehoist/standin/Relay.java
+++ b/benchmark/src/main/java/io/hingehoist/standin/Relay.java
@@ -18,7 +18,8 @@
 /**
  * A TCP relay in front of one address. It delays what passes, and cuts it by the IP number that a
  * connection comes from: what is cut is held, as by a network that loses everything, and arrives
- * late when the link heals.
+ * late when the link heals. It can also let open connections fall silent for good while new ones
+ * work, as a box between does that has forgotten them.
  */
 public final class Relay implements AutoCloseable {
   /** A direction of travel through a relay. */
@@ -40,6 +41,7 @@
   private final InetSocketAddress target;
   private final Set<Cut> cuts = ConcurrentHashMap.newKeySet();
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  private final Set<Socket> silent = ConcurrentHashMap.newKeySet();
   private volatile long delayNanos;
   private volatile boolean closed;
 
@@ -91,6 +93,14 @@
     }
   }
 
+  /**
+   * Lets every connection that passes now fall silent for good: nothing arrives on it any more, and
+   * neither side hears that the other closes it. Connections that come later pass.
+   */
+  public void silenceAll() {
+    silent.addAll(sockets);
+  }
+
   private boolean isCut(String sourceIp, Direction direction) {
     return cuts.contains(new Cut(sourceIp, direction)) || cuts.contains(new Cut(ANY, direction));
   }
@@ -156,7 +166,9 @@
       while (piece.bytes().length > 0) {
         LockSupport.parkNanos(piece.dueNanos() - System.nanoTime());
         waitWhileCut(source, direction);
-        out.write(piece.bytes());
+        if (!silent.contains(to)) {
+          out.write(piece.bytes());
+        }
         piece = queue.take();
       }
     } catch (IOException e) {
@@ -164,7 +176,11 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    close(from, to);
+    if (silent.contains(to)) {
+      close(from);
+    } else {
+      close(from, to);
+    }
   }
 
   private void waitWhileCut(String source, Direction direction) {
