Each frame link looks after its own connection; a lost call is tried again on a new one

A link between an entry and an agent never looked; one between replicas looked at what the peer said on a connection of its own, so that half of a pair that fell silent was never renewed. Now a link on which nothing is heard for a second asks for a word, and is renewed after 2.3 s.

Kept connections to a worker fall silent together, so the second try of a call opens a new one; the lost call has closed its own already.

--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -52,8 +52,11 @@
   /** A stop that failed sooner than a lost call would waits for the next tick. */
   private static final long MIN_STOP_PAUSE_MS = 10;
 
-  /** From which unanswered call in a row on a new connection is tried. */
-  private static final int FRESH_CONNECTION_AFTER = 2;
+  /**
+   * From which unanswered call in a row on a new connection is tried: those that are kept fall
+   * silent together. A lost call has cost its connection already.
+   */
+  private static final int FRESH_CONNECTION_AFTER = 1;
 
   /** An owner that was shown the workers so lately knows that its host lives. */
   private static final long SHOWN_LATELY_MS = 100;
--- a/daemon/src/main/java/io/hingehoist/net/PeerChannel.java
+++ b/daemon/src/main/java/io/hingehoist/net/PeerChannel.java
@@ -1,6 +1,7 @@
 package io.hingehoist.net;
 
 import io.hingehoist.message.Bytes;
+import io.hingehoist.message.KeepAlive;
 import io.hingehoist.message.Message;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.wire.FrameConnection;
@@ -130,13 +131,21 @@
       try {
         Message message = Message.fromBytes(Bytes.copyOf(body));
         metrics.noteReceived(message, body.length);
-        guarded(() -> handler.onMessage(PeerChannel.this, message));
+        guarded(() -> take(message));
       } catch (IOException e) {
         metrics.noteBadFrame();
         close();
       }
     }
 
+    private void take(Message message) {
+      switch (message) {
+        case KeepAlive keepAlive when keepAlive.asks() -> send(new KeepAlive(false));
+        case KeepAlive answer -> {}
+        default -> handler.onMessage(PeerChannel.this, message);
+      }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       close();
--- a/daemon/src/main/java/io/hingehoist/wire/FrameConnection.java
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameConnection.java
@@ -1,6 +1,7 @@
 package io.hingehoist.wire;
 
 import io.hingehoist.message.Bytes;
+import io.hingehoist.message.KeepAlive;
 import io.hingehoist.message.Message;
 import io.hingehoist.metrics.Metrics;
 import java.io.BufferedInputStream;
@@ -39,6 +40,7 @@
   private final AtomicBoolean closed = new AtomicBoolean();
   private final Thread reader;
   private final Thread writer;
+  private volatile long heardAtMs = nowMs();
 
   private FrameConnection(
       Socket socket,
@@ -70,6 +72,16 @@
     return connection;
   }
 
+  /** Returns the steady clock of {@link #heardAtMs}, in milliseconds. */
+  static long nowMs() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  /** Returns when the last frame came, or when the connection was taken over. */
+  long heardAtMs() {
+    return heardAtMs;
+  }
+
   /** Returns a number that no other connection of this process has. */
   public long id() {
     return id;
@@ -114,8 +126,19 @@
       throw new IOException("frame of " + length + " bytes, allowed 1 to " + MAX_FRAME_BYTES);
     }
     Message message = decode(readBody(in, length));
+    heardAtMs = nowMs();
     metrics.noteReceived(message, length);
-    handler.onMessage(this, message);
+    if (message instanceof KeepAlive keepAlive) {
+      answer(keepAlive);
+    } else {
+      handler.onMessage(this, message);
+    }
+  }
+
+  private void answer(KeepAlive keepAlive) {
+    if (keepAlive.asks()) {
+      send(new KeepAlive(false));
+    }
   }
 
   /** Reads in pieces, so that a length alone makes nobody set memory aside. */
--- a/daemon/src/main/java/io/hingehoist/wire/FrameLink.java
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameLink.java
@@ -1,6 +1,7 @@
 package io.hingehoist.wire;
 
 import io.hingehoist.message.Hello;
+import io.hingehoist.message.KeepAlive;
 import io.hingehoist.message.Message;
 import io.hingehoist.metrics.Metrics;
 import java.io.IOException;
@@ -10,11 +11,23 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 
-/** Keeps a connection to one address open, and opens it anew when it breaks. Thread-safe. */
+/**
+ * Keeps a connection to one address open, and opens it anew when it breaks or falls silent.
+ * Thread-safe.
+ *
+ * <p>An open connection may carry nothing any more without a word, and what is heard of the peer on
+ * another one says nothing of this one. So it asks for a word where nothing else is heard.
+ */
 public final class FrameLink implements AutoCloseable {
   private static final int CONNECT_TIMEOUT_MS = 400;
   private static final long RETRY_PAUSE_MS = 100;
-  private static final long CHECK_PAUSE_MS = 1_000;
+  private static final long CHECK_PAUSE_MS = 500;
+
+  /** The time without a frame after which the peer is asked for one: one small frame a second. */
+  private static final long ASK_AFTER_MS = 1_000;
+
+  /** The same after which the connection is given up: two questions had no answer. */
+  private static final long SILENT_AFTER_MS = 2_300;
 
   private final String address;
   private final String ownAddress;
@@ -74,7 +87,9 @@
     while (!closed) {
       FrameConnection connection = current.get();
       boolean open = connection != null && connection.isOpen();
-      if (!open) {
+      if (open) {
+        check(connection);
+      } else {
         connect();
       }
       // A connection that breaks wakes this thread.
@@ -82,6 +97,15 @@
     }
   }
 
+  private static void check(FrameConnection connection) {
+    long unheardMs = FrameConnection.nowMs() - connection.heardAtMs();
+    if (unheardMs >= SILENT_AFTER_MS) {
+      connection.close();
+    } else if (unheardMs >= ASK_AFTER_MS) {
+      connection.send(new KeepAlive(true));
+    }
+  }
+
   private void connect() {
     try {
       Socket socket = Addresses.connect(address, ownAddress, CONNECT_TIMEOUT_MS);
