--- a/core/src/test/java/io/hingehoist/run/PlayedRuns.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedRuns.java
@@ -8,6 +8,7 @@
 import io.hingehoist.message.RunEnded;
 import io.hingehoist.message.RunNotStarted;
 import io.hingehoist.message.RunRef;
+import io.hingehoist.message.SessionAck;
 import io.hingehoist.message.SessionOpened;
 import io.hingehoist.message.StartRuns;
 import io.hingehoist.message.StopRun;
@@ -209,9 +210,17 @@
     }
   }
 
-  /** A connection between an owner and a host; what a cut holds up arrives after it. */
+  /**
+   * A session between an owner and a host; what a cut holds up arrives after it. Its connection may
+   * fall silent, with what is on its way; the session goes on on the next one.
+   */
   final class Session {
     final long id = ++lastSession;
+    final SessionStream ownerStream = SessionStream.create();
+    final SessionStream hostStream = SessionStream.create();
+    boolean silent;
+    long suspendedAtMs;
+    int connection;
     final OwnerBox owner;
     final HostBox box;
     final WorkerHost host;
@@ -236,15 +245,37 @@
     }
 
     void toHost(Message message) {
+      ownerStream.noteSent(message);
+      carryToHost(message);
+    }
+
+    private void carryToHost(Message message) {
+      if (silent) {
+        return;
+      }
+      int carrier = connection;
       long atMs = Math.max(Math.max(nowMs, cutEndsMs()) + delayMs(), lastToHostMs);
       lastToHostMs = atMs;
-      deliver(atMs, () -> box.stands() ? box.standsUntilMs : 0, () -> arriveAtHost(message));
+      deliver(
+          atMs, () -> box.stands() ? box.standsUntilMs : 0, () -> arriveAtHost(message, carrier));
     }
 
     void toOwner(Message message) {
+      hostStream.noteSent(message);
+      carryToOwner(message);
+    }
+
+    private void carryToOwner(Message message) {
+      if (silent) {
+        return;
+      }
+      int carrier = connection;
       long atMs = Math.max(Math.max(nowMs, cutEndsMs()) + delayMs(), lastToOwnerMs);
       lastToOwnerMs = atMs;
-      deliver(atMs, () -> owner.stands() ? owner.standsUntilMs : 0, () -> arriveAtOwner(message));
+      deliver(
+          atMs,
+          () -> owner.stands() ? owner.standsUntilMs : 0,
+          () -> arriveAtOwner(message, carrier));
     }
 
     private void deliver(long atMs, java.util.function.LongSupplier heldUntil, Runnable action) {
@@ -260,11 +291,13 @@
           });
     }
 
-    private void arriveAtHost(Message message) {
-      if (!openAtHost || box.host != host) {
+    private void arriveAtHost(Message message, int carrier) {
+      if (!openAtHost || box.host != host || carrier != connection) {
         return;
       }
+      hostStream.noteReceived(message).ifPresent(this::carryToOwner);
       switch (message) {
+        case SessionAck ack -> hostStream.acknowledged(ack.receivedCount());
         case OwnerBeat beat -> host.ownerBeat(id, beat.sentAtMs(), beat.follows(), nowMs);
         case OwnerWaiting news -> host.ownerWaiting(id, news, nowMs);
         case StartRuns order -> host.startRuns(id, order, nowMs);
@@ -274,12 +307,14 @@
       box.settle();
     }
 
-    private void arriveAtOwner(Message message) {
-      if (!openAtOwner) {
+    private void arriveAtOwner(Message message, int carrier) {
+      if (!openAtOwner || carrier != connection) {
         return;
       }
       heardByOwnerMs = nowMs;
+      ownerStream.noteReceived(message).ifPresent(this::carryToHost);
       switch (message) {
+        case SessionAck ack -> ownerStream.acknowledged(ack.receivedCount());
         case SessionOpened opened ->
             owner.jobs.sessionOpened(
                 box.id, opened.zone(), opened.hostIncarnation(), opened.formerRunsOver());
@@ -291,17 +326,82 @@
       owner.settle();
     }
 
+    /** The connection carries nothing any more, and each end finds out by itself. */
+    void fallSilent() {
+      if (silent) {
+        return;
+      }
+      silent = true;
+      connection++;
+      after(100 + silences.nextInt(400), this::suspendAtOwner);
+      after(300 + silences.nextInt(600), this::resume);
+    }
+
+    private void suspendAtOwner() {
+      if (silent && openAtOwner && suspendedAtMs == 0) {
+        suspendedAtMs = nowMs;
+        owner.jobs.sessionSuspended(box.id);
+        owner.settle();
+      }
+    }
+
+    /** The host opens another connection; each end says how much it has, and gets the rest. */
+    private void resume() {
+      if (!openAtHost || box.host != host || !openAtOwner) {
+        return;
+      }
+      if (box.stands() || owner.stands() || cutEndsMs() > nowMs) {
+        after(50, this::resume);
+        return;
+      }
+      suspendAtOwner();
+      connection++;
+      silent = false;
+      suspendedAtMs = 0;
+      heardByOwnerMs = nowMs;
+      ownerStream.acknowledged(hostStream.receivedCount());
+      hostStream.acknowledged(ownerStream.receivedCount());
+      carryToHost(new OwnerBeat(nowMs, owner.jobs.follows(box.id)));
+      ownerStream.kept().forEach(this::carryToHost);
+      hostStream.kept().forEach(this::carryToOwner);
+      owner.jobs.sessionResumed(box.id);
+      owner.settle();
+      host.sessionResumed(id, nowMs);
+      box.settle();
+    }
+
     void closedByHost() {
       openAtHost = false;
-      at(Math.max(nowMs, cutEndsMs()) + 2, () -> loseAtOwner(false));
+      if (!silent) {
+        at(Math.max(nowMs, cutEndsMs()) + 2, () -> loseAtOwner(false));
+      }
     }
 
-    void loseAtOwner(boolean silent) {
+    void loseAtOwner(boolean unheard) {
+      loseAtOwner(unheard, nowMs);
+    }
+
+    private void loseAtOwner(boolean unheard, long leaseSinceMs) {
       if (openAtOwner) {
         openAtOwner = false;
         owner.sessions.remove(box.id);
-        owner.jobs.sessionLost(box.id, silent, nowMs);
-        at(Math.max(nowMs, cutEndsMs()) + 2, this::endAtHost);
+        owner.jobs.sessionLost(box.id, unheard, leaseSinceMs);
+        if (!silent) {
+          at(Math.max(nowMs, cutEndsMs()) + 2, this::endAtHost);
+        }
+      }
+    }
+
+    /** Beats, or gives the session up once the host's lease of this owner may be over. */
+    void beatOrGiveUp() {
+      if (suspendedAtMs > 0) {
+        if (nowMs - suspendedAtMs >= TIMING.ownerLeaseMs()) {
+          loseAtOwner(true, suspendedAtMs);
+        }
+      } else if (nowMs - heardByOwnerMs >= TIMING.ownerLeaseMs()) {
+        loseAtOwner(true);
+      } else if (nowMs % BEAT_MS < 25) {
+        toHost(new OwnerBeat(nowMs, owner.jobs.follows(box.id)));
       }
     }
 
@@ -315,8 +415,7 @@
     }
 
     void breakNow() {
-      openAtHost = false;
-      at(Math.max(nowMs, cutEndsMs()) + 2, () -> loseAtOwner(false));
+      closedByHost();
     }
   }
 
@@ -333,6 +432,11 @@
   }
 
   private final Random random;
+
+  /** A source of its own, so that seeds play the same orders with and without silences. */
+  private final Random silences;
+
+  private final boolean withSilences;
   private final PriorityQueue<Timed> timeline =
       new PriorityQueue<>(
           java.util.Comparator.comparingLong(Timed::atMs).thenComparingLong(Timed::sequence));
@@ -350,8 +454,15 @@
   private int jobCount;
   long nowMs = 1;
 
+  /** Creates a play whose connections break, but never fall silent while new ones work. */
   PlayedRuns(long seed) {
+    this(seed, false);
+  }
+
+  PlayedRuns(long seed, boolean withSilences) {
     this.random = new Random(seed);
+    this.silences = new Random(~seed);
+    this.withSilences = withSilences;
     this.lateShare = random.nextInt(60);
     for (int i = 0; i < 3; i++) {
       owners.add(new OwnerBox("o" + i));
@@ -384,6 +495,7 @@
       stopsArriving = nowMs >= calmFromMs;
       if (!stopsArriving) {
         maybeFault();
+        maybeSilence();
         maybeJob();
       } else {
         lateShare = 0;
@@ -442,6 +554,18 @@
     }
   }
 
+  private void maybeSilence() {
+    if (withSilences && silences.nextInt(1_000) < 8) {
+      OwnerBox owner = owners.get(silences.nextInt(owners.size()));
+      boolean all = silences.nextInt(4) == 0;
+      for (Session session : List.copyOf(owner.sessions.values())) {
+        if (all || silences.nextInt(3) == 0) {
+          session.fallSilent();
+        }
+      }
+    }
+  }
+
   private void maybeFault() {
     if (random.nextInt(1_000) >= 12) {
       return;
@@ -528,11 +652,7 @@
       List.copyOf(owner.sessions.values()).forEach(session -> session.loseAtOwner(true));
     }
     for (Session session : List.copyOf(owner.sessions.values())) {
-      if (nowMs - session.heardByOwnerMs >= TIMING.ownerLeaseMs()) {
-        session.loseAtOwner(true);
-      } else if (nowMs % BEAT_MS < 25) {
-        session.toHost(new OwnerBeat(nowMs, owner.jobs.follows(session.box.id)));
-      }
+      session.beatOrGiveUp();
     }
     owner.jobs.onTick(nowMs);
     owner.settle();
--- a/core/src/test/java/io/hingehoist/run/PlayedRunsTest.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedRunsTest.java
@@ -14,9 +14,18 @@
 
   @Test
   public void noTaskRunsTwiceAndEachJobIsAnswered() {
+    playAll(false);
+  }
+
+  @Test
+  public void theSameWhileConnectionsFallSilent() {
+    playAll(true);
+  }
+
+  private static void playAll(boolean withSilences) {
     boolean completed = false;
     for (long seed = 1; seed <= SEEDS; seed++) {
-      PlayedRuns runs = new PlayedRuns(seed);
+      PlayedRuns runs = new PlayedRuns(seed, withSilences);
       try {
         runs.play(WITH_FAULTS_MS, CALM_MS);
       } catch (AssertionError e) {
