Heartbeats each 200 ms; a silent connection is replaced before it is closed

Now 300 of 650 ms find the silence.

A connection on a link that loses packets may speak again: the new one is opened first, and closed if the old one does. An owner that does not hear a host gives it nothing new, and keeps beating. A count that can't be of the session closes the connection and is counted as a bad frame.

--- a/core/src/main/java/io/hingehoist/run/SessionStream.java
+++ b/core/src/main/java/io/hingehoist/run/SessionStream.java
@@ -73,16 +73,16 @@
    * Forgets what the other end has.
    *
    * @param receivedByOther how many counted messages of this end have come there
-   * @throws IllegalArgumentException if that is more than were sent
+   * @return false if that is more than were sent, so that it is not of this session
    */
-  public void acknowledged(long receivedByOther) {
+  public boolean acknowledged(long receivedByOther) {
     if (receivedByOther > sentCount) {
-      throw new IllegalArgumentException(
-          "receivedByOther " + receivedByOther + " must be at most " + sentCount);
+      return false;
     }
     while (sentCount - unacknowledged.size() < receivedByOther) {
       unacknowledged.remove();
     }
+    return true;
   }
 
   /** Returns, in order, the messages that the other end has not acknowledged. */
--- a/daemon/src/main/java/io/hingehoist/host/OwnerLinks.java
+++ b/daemon/src/main/java/io/hingehoist/host/OwnerLinks.java
@@ -31,11 +31,11 @@
  */
 final class OwnerLinks implements AutoCloseable {
   /**
-   * The time without a heartbeat after which a connection is given up: the owner's period of 250 ms
-   * and 150 for what holds one up. That leaves 200 of the lease of 650 ms for the next connection.
+   * The time without a heartbeat after which a connection is replaced: the owner's period of 200 ms
+   * and 100 for what holds one up. That leaves 350 of the lease of 650 ms for the next connection.
    * Orders that came later don't count, as they renew no lease.
    */
-  private static final long SILENT_AFTER_MS = 400;
+  private static final long SILENT_AFTER_MS = 300;
 
   /** Takes what happens on sessions, on the event loop. */
   interface Listener {
@@ -125,7 +125,7 @@
     for (Map.Entry<String, Session> entry : Map.copyOf(sessionsByOwner).entrySet()) {
       Session session = entry.getValue();
       if (session.channel.isPresent() && watch.isSilent(session.beatAtMs, SILENT_AFTER_MS)) {
-        Optional.ofNullable(links.get(entry.getKey())).ifPresent(PeerLink::renew);
+        Optional.ofNullable(links.get(entry.getKey())).ifPresent(PeerLink::replace);
       }
     }
   }
@@ -199,7 +199,8 @@
       switch (message) {
         case SessionResumed resumed -> resume(session, channel, resumed);
         case SessionUnknown unknown -> beginAnew(session, channel, unknown);
-        case SessionAck ack -> session.stream.acknowledged(ack.receivedCount());
+        case SessionAck ack ->
+            closeUnless(session.stream.acknowledged(ack.receivedCount()), channel);
         default -> receive(session, channel, message);
       }
     }
@@ -214,15 +215,23 @@
       }
     }
 
-    private void resume(Session session, PeerChannel channel, SessionResumed resumed) {
-      if (resumed.sessionId() != session.id) {
+    private void closeUnless(boolean possible, PeerChannel channel) {
+      if (!possible) {
+        metrics.noteBadFrame();
         channel.close();
+      }
+    }
+
+    private void resume(Session session, PeerChannel channel, SessionResumed resumed) {
+      boolean possible =
+          resumed.sessionId() == session.id && session.stream.acknowledged(resumed.receivedCount());
+      if (!possible) {
+        closeUnless(false, channel);
         return;
       }
       session.channel = Optional.of(channel);
       session.beatAtMs = EventLoop.nowMs();
       session.rows = SentRows.create();
-      session.stream.acknowledged(resumed.receivedCount());
       session.stream.kept().forEach(channel::send);
       listener.onResumed(session.id);
     }
--- a/daemon/src/main/java/io/hingehoist/net/PeerLink.java
+++ b/daemon/src/main/java/io/hingehoist/net/PeerLink.java
@@ -35,6 +35,7 @@
   private final Metrics metrics;
   private final SilenceWatch watch = SilenceWatch.create(EventLoop.nowMs());
   private int patience = 1;
+  private long replacedHeardAtMs;
   private Optional<PeerChannel> current = Optional.empty();
   private boolean connecting;
   private boolean closed;
@@ -91,27 +92,25 @@
     return current.isPresent() && current.get().send(message);
   }
 
-  /** Gives up a connection on which nothing is heard. Called at short intervals. */
+  /** Replaces a connection on which nothing is heard. Called at short intervals. */
   public void onTick(long nowMs) {
     watch.onTick(nowMs);
     current
         .filter(channel -> watch.isSilent(channel.heardAtMs(), patience * silentAfterMs))
-        .ifPresent(this::giveUp);
+        .ifPresent(channel -> replace());
   }
 
-  /** Gives the open connection up, and opens another. */
-  public void renew() {
-    current.ifPresent(this::giveUp);
-  }
-
-  /** A process that stands still accepts connections and says nothing on them. */
-  private void giveUp(PeerChannel channel) {
-    patience = channel.wasHeard() ? 1 : Math.min(MAX_PATIENCE, 2 * patience);
-    channel.close();
+  /**
+   * Opens another connection in place of the one that is open. That one is closed only then: on a
+   * link that loses packets it may speak again before a new one is open, which is given up instead.
+   */
+  public void replace() {
+    replacedHeardAtMs = current.map(PeerChannel::heardAtMs).orElse(0L);
+    connect();
   }
 
   private void connect() {
-    if (closed || connecting || current.isPresent()) {
+    if (closed || connecting) {
       return;
     }
     connecting = true;
@@ -141,43 +140,71 @@
     if (cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException)) {
       handler.onRefused();
     }
-    retryLater();
+    if (current.isEmpty()) {
+      retryLater();
+    }
   }
 
   private void retryLater() {
     if (!closed) {
-      loop.schedule(this::connect, RETRY_PAUSE_MS);
+      loop.schedule(this::connectIfNone, RETRY_PAUSE_MS);
+    }
+  }
+
+  private void connectIfNone() {
+    if (current.isEmpty()) {
+      connect();
     }
   }
 
   private final class Greeting implements PeerHandler {
     @Override
     public void onOpen(PeerChannel channel) {
-      if (closed) {
+      boolean speaksAgain =
+          current.filter(former -> former.heardAtMs() > replacedHeardAtMs).isPresent();
+      if (closed || speaksAgain) {
         channel.close();
         return;
       }
+      current.ifPresent(this::end);
       current = Optional.of(channel);
       channel.send(hello.get());
       handler.onOpen(channel);
     }
 
+    /** A process that stands still accepts connections and says nothing on them. */
+    private void end(PeerChannel former) {
+      patience = former.wasHeard() ? 1 : Math.min(MAX_PATIENCE, 2 * patience);
+      current = Optional.empty();
+      handler.onClosed(former);
+      former.close();
+    }
+
     @Override
     public void onMessage(PeerChannel channel, Message message) {
-      handler.onMessage(channel, message);
+      if (isCurrent(channel)) {
+        handler.onMessage(channel, message);
+      }
     }
 
     @Override
     public void onClosed(PeerChannel channel) {
+      if (!isCurrent(channel)) {
+        return;
+      }
       current = Optional.empty();
       handler.onClosed(channel);
       // A process that was heard is likely there; one that ended refuses the connection.
       if (channel.wasHeard()) {
-        loop.execute(PeerLink.this::connect);
+        loop.execute(PeerLink.this::connectIfNone);
       } else {
         retryLater();
       }
     }
+
+    private boolean isCurrent(PeerChannel channel) {
+      return current.filter(channel::equals).isPresent();
+    }
   }
 
   @Override
--- a/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
+++ b/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
@@ -33,19 +33,21 @@
  * The sessions of an owner with the hosts. Hosts open them; an owner that misses one makes itself
  * known at the host's address, as the host may not have heard of it.
  *
- * <p>A session outlasts its connection: one that breaks or falls silent is given up, and the host
- * opens another on which the session goes on. Without one, it is over after the lease. Owned by the
- * event loop.
+ * <p>A session outlasts its connection: in place of one that breaks or falls silent the host opens
+ * another on which the session goes on. Unheard for the length of the lease, it is over. Owned by
+ * the event loop.
  */
 final class HostSessions implements AutoCloseable {
-  /** A lease of 650 ms is left with 400 for what holds a beat up. */
-  private static final long BEAT_MS = 250;
+  /**
+   * A lease of 650 ms is left with 450 for a silent connection to be noticed (300) and replaced.
+   */
+  private static final long BEAT_MS = 200;
 
   /**
-   * The time without a frame after which a connection is given up: hosts answer each heartbeat, but
-   * for those that come within 100 ms of rows that were shown, and 100 ms for what holds them up.
+   * The time without a frame after which a host gets nothing new: hosts answer each heartbeat, but
+   * for those that come within 100 ms of rows that were shown, and 50 ms for what holds them up.
    */
-  private static final long SILENT_AFTER_MS = 450;
+  private static final long SILENT_AFTER_MS = 350;
 
   private static final long KNOCK_PAUSE_MS = 600;
   private static final long KNOCK_OPEN_MS = 300;
@@ -88,6 +90,9 @@
     private ReceivedRows rows = ReceivedRows.create();
     private long suspendedAtMs;
 
+    /** Whether the connection is open but nothing is heard on it. */
+    private boolean unheard;
+
     private Session(long id, long hostIncarnation, PeerChannel channel) {
       this.id = id;
       this.hostIncarnation = hostIncarnation;
@@ -135,11 +140,11 @@
     }
   }
 
-  /** Beats, and gives up connections and hosts that are silent. Called at short intervals. */
+  /** Beats, and gives up hosts that are silent. Called at short intervals. */
   void onTick(long nowMs) {
     watch.onTick(nowMs);
     for (Map.Entry<String, Session> entry : List.copyOf(sessions.entrySet())) {
-      giveUpIfSilent(entry.getKey(), entry.getValue(), nowMs);
+      check(entry.getKey(), entry.getValue(), nowMs);
     }
     if (nowMs - beatAtMs >= BEAT_MS) {
       beatAtMs = nowMs;
@@ -152,13 +157,20 @@
     channel.send(new OwnerBeat(EventLoop.nowMs(), listener.follows(hostId)));
   }
 
-  private void giveUpIfSilent(String hostId, Session session, long nowMs) {
+  private void check(String hostId, Session session, long nowMs) {
     if (session.channel.isEmpty()) {
       if (nowMs - session.suspendedAtMs >= silenceMs) {
         lose(hostId, true, session.suspendedAtMs);
       }
-    } else if (watch.isSilent(session.channel.get().heardAtMs(), SILENT_AFTER_MS)) {
-      suspend(hostId, session);
+      return;
+    }
+    long heardAtMs = session.channel.get().heardAtMs();
+    if (watch.isSilent(heardAtMs, silenceMs)) {
+      lose(hostId, true, nowMs);
+    } else if (!session.unheard && watch.isSilent(heardAtMs, SILENT_AFTER_MS)) {
+      session.unheard = true;
+      session.suspendedAtMs = nowMs;
+      listener.onSuspended(hostId, nowMs - heardAtMs);
     }
   }
 
@@ -167,6 +179,7 @@
     long nowMs = EventLoop.nowMs();
     PeerChannel former = session.channel.orElseThrow();
     session.channel = Optional.empty();
+    session.unheard = false;
     session.suspendedAtMs = nowMs;
     former.close();
     listener.onSuspended(hostId, nowMs - former.heardAtMs());
@@ -243,6 +256,7 @@
       Session session = sessions.get(host.nodeId());
       if (session != null && session.isOn(channel)) {
         session.stream.noteReceived(message).ifPresent(channel::send);
+        noteHeard(host.nodeId(), session);
         receive(host.nodeId(), session, message);
         return;
       }
@@ -254,6 +268,14 @@
       }
     }
 
+    /** On a link that loses packets, a connection that seemed silent may speak again. */
+    private void noteHeard(String hostId, Session session) {
+      if (session.unheard) {
+        session.unheard = false;
+        listener.onResumed(hostId, EventLoop.nowMs() - session.suspendedAtMs, 0);
+      }
+    }
+
     private void begin(Hello host, PeerChannel channel, SessionOpened opened) {
       long nowMs = EventLoop.nowMs();
       lose(host.nodeId(), false, nowMs);
@@ -270,7 +292,8 @@
       boolean known =
           session != null
               && session.id == resumed.sessionId()
-              && session.hostIncarnation == host.incarnation();
+              && session.hostIncarnation == host.incarnation()
+              && session.stream.acknowledged(resumed.receivedCount());
       if (!known) {
         channel.send(new SessionUnknown(resumed.sessionId()));
         return;
@@ -280,7 +303,6 @@
       }
       session.channel = Optional.of(channel);
       session.rows = ReceivedRows.create();
-      session.stream.acknowledged(resumed.receivedCount());
       channel.send(new SessionResumed(session.id, session.stream.receivedCount()));
       beat(host.nodeId(), channel);
       session.stream.kept().forEach(channel::send);
@@ -291,7 +313,7 @@
     private void receive(String host, Session session, Message message) {
       switch (message) {
         case SessionOpened opened -> listener.onOpened(host, opened);
-        case SessionAck ack -> session.stream.acknowledged(ack.receivedCount());
+        case SessionAck ack -> take(session, ack);
         case Announce announce -> listener.onAnnounce(announce.self());
         case HostRows rows -> {
           session.rows.take(rows);
@@ -302,6 +324,13 @@
       }
     }
 
+    private void take(Session session, SessionAck ack) {
+      if (!session.stream.acknowledged(ack.receivedCount())) {
+        metrics.noteBadFrame();
+        session.channel.ifPresent(PeerChannel::close);
+      }
+    }
+
     private void receive(String host, Session session, HostRooms rooms) {
       Optional<HostRows> rows = session.rows.expand(rooms);
       if (rows.isPresent()) {
