A late heartbeat of a crashed worker ends the next life's runs: a test that fails

The test on another life at the same address now has that life answer, as the heartbeat alone proves nothing.

--- a/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
+++ b/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
@@ -323,15 +323,37 @@
   }
 
   @Test
-  public void anotherLifeAtTheSameAddressEndsTheRunsOfTheLast() {
+  public void anotherLifeThatAnswersAtTheSameAddressEndsTheRunsOfTheLast() {
     WorkerHost host = hostWithOwner(1_000);
     order(host, 1_000, run(0, 1));
     host.workerSeen(worker("w2", false, 1), 1_100);
-    settle(host, 1_100);
+    host.holdAnswered("w2", HoldAnswers.listed(1_101, List.of()), 1_101);
+    settle(host, 1_101);
     assertEquals(told(RunEnded.class).getFirst().end(), RunEnd.LOST);
     assertEquals(host.workerCount(), 1);
   }
 
+  /**
+   * A heartbeat that a cut holds up may come after its sender has crashed and another life has
+   * registered at the address. It was taken for a new life there: the runs of the one that is well
+   * were called lost, and ordered elsewhere while they went on.
+   */
+  @Test
+  public void aLateHeartbeatOfACrashedLifeEndsNothing() {
+    WorkerHost host = hostWithOwner(1_000);
+    order(host, 1_000, run(0, 1));
+    host.workerSeen(worker("w0", false, 7), 1_100);
+    settle(host, 1_100);
+    assertEquals(told(RunEnded.class), List.of());
+    assertEquals(all(HostEffect.CallHold.class).getFirst().workerId(), "w0");
+    host.holdAnswered("w0", new HoldAnswer.Gone(), 1_101);
+    settle(host, 1_101);
+    assertEquals(told(RunEnded.class), List.of());
+    host.startAnswered("w1", run(0, 1), new StartAnswer.Started(501_000), 1_102);
+    list(host, 1_110, List.of(), new HoldAnswer.Ended(1, run(0, 1), RunEnd.DONE));
+    assertEquals(told(RunEnded.class).getFirst().end(), RunEnd.DONE);
+  }
+
   @Test
   public void aDrainingWorkerGetsNothingNew() {
     WorkerHost host = hostWithOwner(1_000);
