A heartbeat that names a taken address is believed once its sender answers there

Cause: an unknown name at a known address ended the life that was there. A heartbeat that a cut held up so called the runs of a sound worker lost, and they were ordered elsewhere while they went on.

--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -69,6 +69,10 @@
   private final RunTiming timing;
   private final long quietAtMs;
   private final Map<String, WorkerLife> lives = new LinkedHashMap<>();
+
+  /** Lives that a heartbeat names at the address of another, until one answers or is not there. */
+  private final Map<String, WorkerLife> claims = new LinkedHashMap<>();
+
   private final OwnerSessions sessions = new OwnerSessions();
   private final List<HostEffect> effects = new ArrayList<>();
   private final ShownRows shownRows = new ShownRows();
@@ -110,16 +114,49 @@
   public void workerSeen(WorkerInfo info, long nowMs) {
     WorkerLife known = lives.get(info.workerId());
     if (known == null) {
-      endLivesAt(info.address());
-      WorkerLife life = new WorkerLife(info, timing, nowMs);
-      lives.put(info.workerId(), life);
-      note("workerFound", "", info.workerId(), "service=" + info.service());
-      sendHold(life, nowMs);
+      unknownSeen(new WorkerLife(info, timing, nowMs), nowMs);
     } else if (known.update(info)) {
       note("workerDraining", "", info.workerId(), "version=" + info.version());
     }
   }
 
+  /**
+   * A heartbeat may come late, when its sender has crashed and another life is at its address. So
+   * one that names an address that is taken is believed only once that life answers a call.
+   */
+  private void unknownSeen(WorkerLife life, long nowMs) {
+    boolean taken =
+        lives.values().stream().anyMatch(l -> l.info().address().equals(life.info().address()));
+    if (!taken) {
+      register(life);
+      sendHold(life, nowMs);
+    } else if (claims.putIfAbsent(life.id(), life) == null) {
+      sendHold(life, nowMs);
+    }
+  }
+
+  private void register(WorkerLife life) {
+    lives.put(life.id(), life);
+    note("workerFound", "", life.id(), "service=" + life.info().service());
+  }
+
+  /** Takes what a life answered, or did not, whose heartbeat named the address of another. */
+  private void claimAnswered(WorkerLife claim, HoldAnswer answer, long nowMs) {
+    switch (answer) {
+      case HoldAnswer.Listed listed -> replaceBy(claim, listed, nowMs);
+      case HoldAnswer.Fenced fenced -> replaceBy(claim, fenced, nowMs);
+      case HoldAnswer.Gone gone -> note("heartbeatIgnored", "", claim.id(), "it is gone");
+      case HoldAnswer.Unanswered unanswered ->
+          note("heartbeatIgnored", "", claim.id(), "it does not answer");
+    }
+  }
+
+  private void replaceBy(WorkerLife claim, HoldAnswer answer, long nowMs) {
+    endLivesAt(claim.info().address());
+    register(claim);
+    holdAnswered(claim.id(), answer, nowMs);
+  }
+
   private void endLivesAt(String address) {
     for (WorkerLife life : List.copyOf(lives.values())) {
       if (life.info().address().equals(address)) {
@@ -482,6 +519,11 @@
 
   /** Takes a worker's list of its runs. */
   public void holdAnswered(String workerId, HoldAnswer answer, long nowMs) {
+    WorkerLife claim = claims.remove(workerId);
+    if (claim != null) {
+      claimAnswered(claim, answer, nowMs);
+      return;
+    }
     WorkerLife life = lives.get(workerId);
     if (life == null) {
       return;
