A connection that soon fell silent gives the next one more time

An owner that is several times too slow sends its heartbeats late; hosts that replace its connections three times a second give it still more to do. Only a connection that was heard for a second says that the silence is the connection's own.

--- a/daemon/src/main/java/io/hingehoist/host/OwnerLinks.java
+++ b/daemon/src/main/java/io/hingehoist/host/OwnerLinks.java
@@ -122,11 +122,15 @@
   void onTick(long nowMs) {
     watch.onTick(nowMs);
     links.values().forEach(link -> link.onTick(nowMs));
-    for (Map.Entry<String, Session> entry : Map.copyOf(sessionsByOwner).entrySet()) {
-      Session session = entry.getValue();
-      if (session.channel.isPresent() && watch.isSilent(session.beatAtMs, SILENT_AFTER_MS)) {
-        Optional.ofNullable(links.get(entry.getKey())).ifPresent(PeerLink::replace);
-      }
+    Map.copyOf(sessionsByOwner).forEach(this::replaceIfSilent);
+  }
+
+  private void replaceIfSilent(String owner, Session session) {
+    PeerLink link = links.get(owner);
+    if (link != null
+        && session.channel.isPresent()
+        && watch.isSilent(session.beatAtMs, link.silentAfterMs())) {
+      link.replace();
     }
   }
 
--- a/daemon/src/main/java/io/hingehoist/net/PeerChannel.java
+++ b/daemon/src/main/java/io/hingehoist/net/PeerChannel.java
@@ -33,7 +33,8 @@
   private final long id = NEXT_ID.incrementAndGet();
   private final Channel channel;
   private final Metrics metrics;
-  private long heardAtMs = EventLoop.nowMs();
+  private final long openedAtMs = EventLoop.nowMs();
+  private long heardAtMs = openedAtMs;
   private boolean heard;
 
   private PeerChannel(Channel channel, Metrics metrics) {
@@ -68,6 +69,11 @@
     return heardAtMs;
   }
 
+  /** Returns the time from the opening to the last frame. */
+  long heardForMs() {
+    return heardAtMs - openedAtMs;
+  }
+
   /** Returns whether a frame has come. */
   boolean wasHeard() {
     return heard;
--- a/daemon/src/main/java/io/hingehoist/net/PeerLink.java
+++ b/daemon/src/main/java/io/hingehoist/net/PeerLink.java
@@ -23,9 +23,15 @@
   private static final int CONNECT_TIMEOUT_MS = 400;
   private static final long RETRY_PAUSE_MS = 100;
 
-  /** After a silent connection, the next one is given twice the time, up to this factor. */
+  /** After a connection that soon fell silent, the next one is given twice the time, up to this. */
   private static final int MAX_PATIENCE = 4;
 
+  /**
+   * The life after which a connection that falls silent says nothing of the peer. A process that
+   * stands still or is far too slow says little on each, and new ones cost it more.
+   */
+  private static final long STEADY_MS = 1_000;
+
   private final EventLoop loop;
   private final String address;
   private final String ownAddress;
@@ -61,7 +67,7 @@
    * Opens a link.
    *
    * @param ownAddress the address whose IP number the connections come from
-   * @param silentAfterMs the time without a frame after which a connection is given up
+   * @param silentAfterMs the time without a frame after which a connection is replaced
    * @param hello makes the first message of each connection
    */
   public static PeerLink open(
@@ -96,10 +102,15 @@
   public void onTick(long nowMs) {
     watch.onTick(nowMs);
     current
-        .filter(channel -> watch.isSilent(channel.heardAtMs(), patience * silentAfterMs))
+        .filter(channel -> watch.isSilent(channel.heardAtMs(), silentAfterMs()))
         .ifPresent(channel -> replace());
   }
 
+  /** Returns the time without a word after which the open connection is to be replaced. */
+  public long silentAfterMs() {
+    return patience * silentAfterMs;
+  }
+
   /**
    * Opens another connection in place of the one that is open. That one is closed only then: on a
    * link that loses packets it may speak again before a new one is open, which is given up instead.
@@ -172,9 +183,9 @@
       handler.onOpen(channel);
     }
 
-    /** A process that stands still accepts connections and says nothing on them. */
     private void end(PeerChannel former) {
-      patience = former.wasHeard() ? 1 : Math.min(MAX_PATIENCE, 2 * patience);
+      boolean steady = former.heardForMs() >= STEADY_MS;
+      patience = steady ? 1 : Math.min(MAX_PATIENCE, 2 * patience);
       current = Optional.empty();
       handler.onClosed(former);
       former.close();
