--- a/daemon/src/test/java/io/hingehoist/net/PeerLinkTest.java
+++ b/daemon/src/test/java/io/hingehoist/net/PeerLinkTest.java
@@ -16,6 +16,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Supplier;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -144,6 +146,35 @@
     loop.execute(link::close);
   }
 
+  /**
+   * The first connections of a process that was still starting fell silent. All later ones kept the
+   * longer time, so that a session's lease was over before its silent connection was replaced.
+   */
+  @Test
+  public void aSteadyConnectionIsGivenTheUsualTimeAgain() throws Exception {
+    PeerLink link = link();
+    assertTrue(accepted.poll(10, TimeUnit.SECONDS) != null);
+    loop.execute(() -> tickThrough(link, SILENT_AFTER_MS + TICK_MS));
+    PeerChannel second = accepted.poll(10, TimeUnit.SECONDS);
+    assertEquals(received.poll(10, TimeUnit.SECONDS), HELLO);
+    assertEquals(received.poll(10, TimeUnit.SECONDS), new OwnerBeat(7, true));
+    assertEquals(received.poll(10, TimeUnit.SECONDS), HELLO);
+    assertEquals(onLoop(link::silentAfterMs), Long.valueOf(2 * SILENT_AFTER_MS));
+    loop.every(() -> second.send(new OwnerBeat(8, true)), TICK_MS);
+    long giveUpAtMs = EventLoop.nowMs() + TimeUnit.SECONDS.toMillis(20);
+    while (onLoop(link::silentAfterMs) != SILENT_AFTER_MS) {
+      assertTrue(EventLoop.nowMs() < giveUpAtMs, "the time is still longer");
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(TICK_MS));
+    }
+    loop.execute(link::close);
+  }
+
+  private <T> T onLoop(Supplier<T> question) throws Exception {
+    CompletableFuture<T> answer = new CompletableFuture<>();
+    loop.execute(() -> answer.complete(question.get()));
+    return answer.get(10, TimeUnit.SECONDS);
+  }
+
   @Test
   public void saysSoWhenNobodyListens() throws Exception {
     CompletableFuture<String> refused = new CompletableFuture<>();
