A steady connection is given the usual time again

Cause: the longer time was kept until the next connection ended, so connections that fell silent while a process started made hosts look for silence only after 600 to 1,200 ms, and the lease of 650 ended first.

--- a/daemon/src/main/java/io/hingehoist/net/PeerLink.java
+++ b/daemon/src/main/java/io/hingehoist/net/PeerLink.java
@@ -108,7 +108,12 @@
 
   /** Returns the time without a word after which the open connection is to be replaced. */
   public long silentAfterMs() {
-    return patience * silentAfterMs;
+    boolean steady = current.filter(PeerLink::isSteady).isPresent();
+    return steady ? silentAfterMs : patience * silentAfterMs;
+  }
+
+  private static boolean isSteady(PeerChannel channel) {
+    return channel.heardForMs() >= STEADY_MS;
   }
 
   /**
@@ -184,8 +189,7 @@
     }
 
     private void end(PeerChannel former) {
-      boolean steady = former.heardForMs() >= STEADY_MS;
-      patience = steady ? 1 : Math.min(MAX_PATIENCE, 2 * patience);
+      patience = isSteady(former) ? 1 : Math.min(MAX_PATIENCE, 2 * patience);
       current = Optional.empty();
       handler.onClosed(former);
       former.close();
