--- a/core/src/main/java/io/hingehoist/run/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/JobOwner.java
@@ -215,8 +215,8 @@
   }
 
   /**
-   * Notes that a session has no connection: its host gets nothing new until it has one, as an order
-   * would wait for it. What was ordered there goes on.
+   * Notes that a session has no connection on which its host is heard: the host gets nothing new
+   * until it has one, as an order would wait for it. What was ordered there goes on.
    */
   public void sessionSuspended(String hostId) {
     if (hosts.containsKey(hostId) && suspended.add(hostId)) {
--- a/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
+++ b/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
@@ -59,13 +59,13 @@
     void onMessage(String hostId, Message message);
 
     /**
-     * Notes that a session has no connection for now.
+     * Notes that a session has no connection for now, or one on which nothing is heard.
      *
      * @param heardAgoMs the time since something was last heard on the last one
      */
     void onSuspended(String hostId, long heardAgoMs);
 
-    /** Notes that a session goes on on a new connection. */
+    /** Notes that a session goes on, on a new connection or the one that speaks again. */
     void onResumed(String hostId, long suspendedForMs, int repeatedMessages);
 
     /**
