--- a/daemon/src/test/java/io/hingehoist/log/DecisionLogTest.java
+++ b/daemon/src/test/java/io/hingehoist/log/DecisionLogTest.java
@@ -9,6 +9,8 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.testng.annotations.Test;
 
 public final class DecisionLogTest {
@@ -30,6 +32,18 @@
     assertEquals(line.lines().filter(l -> !l.isBlank()).count(), 1);
   }
 
+  /** The writer takes the first line and waits for more; a close in that time ended without it. */
+  @Test
+  public void closingWritesTheLineThatTheWriterHasTaken() {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    DecisionLog log = DecisionLog.start("n", new PrintStream(bytes, true, StandardCharsets.UTF_8));
+    log.write(decision(1));
+    // Lets the writer take the line; where it has not, the close finds it waiting.
+    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+    log.close();
+    assertTrue(bytes.toString(StandardCharsets.UTF_8).contains("\"job\":\"j1\""));
+  }
+
   /** A reader that takes nothing holds up the writer thread, and nobody else. */
   @Test
   public void aBurstBeforeAReaderThatStandsStillIsDroppedAndCounted() throws Exception {
