A log that is closed waits for its writer

Cause: the writer takes a line and waits 200 ms for more; a close in that time wrote what was left and did not wait for the writer, so the last line of a process could be lost. The close waits for it, for a second at most.

--- a/daemon/src/main/java/io/hingehoist/log/DecisionLog.java
+++ b/daemon/src/main/java/io/hingehoist/log/DecisionLog.java
@@ -17,6 +17,10 @@
  */
 public final class DecisionLog implements AutoCloseable {
   private static final int MAX_WAITING = 8_192;
+
+  /** For a reader that takes nothing: a process that ends waits no longer for its log. */
+  private static final long CLOSE_WAIT_MS = 1_000;
+
   private static final long WRITE_PERIOD_NANOS = 200_000_000;
 
   private final String node;
@@ -115,11 +119,21 @@
     out.flush();
   }
 
+  /** The writer may hold a line that it took and has not written, often the last of a process. */
+  private void awaitWriter() {
+    try {
+      writer.join(CLOSE_WAIT_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Writes what waits and ends. */
   @Override
   public void close() {
     closed = true;
     writer.interrupt();
+    awaitWriter();
     flush("");
   }
 }
