--- a/core/src/main/java/io/hingehoist/run/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/JobOwner.java
@@ -224,7 +224,7 @@
     }
   }
 
-  /** Notes that a session goes on on a new connection. */
+  /** Notes that a session has a connection again on which its host is heard. */
   public void sessionResumed(String hostId) {
     if (suspended.remove(hostId)) {
       sortHosts();
--- a/daemon/src/main/java/io/hingehoist/host/OwnerLinks.java
+++ b/daemon/src/main/java/io/hingehoist/host/OwnerLinks.java
@@ -203,8 +203,7 @@
       switch (message) {
         case SessionResumed resumed -> resume(session, channel, resumed);
         case SessionUnknown unknown -> beginAnew(session, channel, unknown);
-        case SessionAck ack ->
-            closeUnless(session.stream.acknowledged(ack.receivedCount()), channel);
+        case SessionAck ack -> take(session, channel, ack);
         default -> receive(session, channel, message);
       }
     }
@@ -219,18 +218,22 @@
       }
     }
 
-    private void closeUnless(boolean possible, PeerChannel channel) {
-      if (!possible) {
-        metrics.noteBadFrame();
-        channel.close();
+    private void take(Session session, PeerChannel channel, SessionAck ack) {
+      if (!session.stream.acknowledged(ack.receivedCount())) {
+        refuse(channel);
       }
     }
 
+    /** Gives up a connection whose other end speaks of another session than this one. */
+    private void refuse(PeerChannel channel) {
+      metrics.noteBadFrame();
+      channel.close();
+    }
+
     private void resume(Session session, PeerChannel channel, SessionResumed resumed) {
-      boolean possible =
-          resumed.sessionId() == session.id && session.stream.acknowledged(resumed.receivedCount());
-      if (!possible) {
-        closeUnless(false, channel);
+      boolean same = resumed.sessionId() == session.id;
+      if (!same || !session.stream.acknowledged(resumed.receivedCount())) {
+        refuse(channel);
         return;
       }
       session.channel = Optional.of(channel);
