--- a/cli/src/main/java/io/hingehoist/cli/Action.java
+++ b/cli/src/main/java/io/hingehoist/cli/Action.java
@@ -14,6 +14,9 @@
         MemberActions.Members,
         MemberActions.Drain,
         MemberActions.Undrain,
+        ZoneActions.ListZones,
+        ZoneActions.Evacuate,
+        ZoneActions.Restore,
         ExplainAction,
         ReportActions.Audit,
         ReportActions.Status {
--- a/cli/src/main/java/io/hingehoist/cli/Main.java
+++ b/cli/src/main/java/io/hingehoist/cli/Main.java
@@ -95,6 +95,10 @@
     parser.addCommand("members", new MemberActions.Members());
     parser.addCommand("drain", new MemberActions.Drain());
     parser.addCommand("undrain", new MemberActions.Undrain());
+    JCommander zone = group(parser, "zone");
+    zone.addCommand("list", new ZoneActions.ListZones());
+    zone.addCommand("evacuate", new ZoneActions.Evacuate());
+    zone.addCommand("restore", new ZoneActions.Restore());
     parser.addCommand("explain", new ExplainAction());
     parser.addCommand("audit", new ReportActions.Audit());
     parser.addCommand("status", new ReportActions.Status());
--- /dev/null
+++ b/cli/src/main/java/io/hingehoist/cli/ZoneActions.java
@@ -0,0 +1,53 @@
+package io.hingehoist.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+
+/** The commands about availability zones. */
+final class ZoneActions {
+  private ZoneActions() {}
+
+  @Parameters(commandDescription = "Shows availability zones and whether they are evacuated")
+  static final class ListZones implements Action {
+    @Override
+    public ExitCode run(EntryClient client, Output output) throws IOException {
+      EntryClient.Reply reply = client.report("zones", "");
+      output.write(reply.body(), Table.of(reply.body().path("zones"), "zone", "state", "agents"));
+      return Output.codeOf(reply);
+    }
+  }
+
+  private abstract static class ZoneChange {
+    @Parameter(names = "--zone", required = true, description = "Name of the availability zone")
+    private String zone;
+
+    @Parameter(names = "--operator", description = "Who makes the change")
+    private String operator = System.getProperty("user.name");
+
+    ExitCode change(EntryClient client, Output output, String verb) throws IOException {
+      String name = URLEncoder.encode(zone, StandardCharsets.UTF_8).replace("+", "%20");
+      return output.writeChange(
+          client.post(
+              "/v1/zones/" + name + "/" + verb, EntryClient.newObject().put("operator", operator)));
+    }
+  }
+
+  @Parameters(commandDescription = "Starts nothing more in an availability zone")
+  static final class Evacuate extends ZoneChange implements Action {
+    @Override
+    public ExitCode run(EntryClient client, Output output) throws IOException {
+      return change(client, output, "evacuate");
+    }
+  }
+
+  @Parameters(commandDescription = "Lets an evacuated availability zone be used again")
+  static final class Restore extends ZoneChange implements Action {
+    @Override
+    public ExitCode run(EntryClient client, Output output) throws IOException {
+      return change(client, output, "restore");
+    }
+  }
+}
--- a/core/src/main/java/io/hingehoist/control/AuditTrail.java
+++ b/core/src/main/java/io/hingehoist/control/AuditTrail.java
@@ -23,6 +23,26 @@
     add(new AuditRow(++sequence, atMs, actor, action, member, "", 0, before, after, true, ""));
   }
 
+  /** Adds a change of an availability zone. */
+  void addZoneChange(long atMs, io.hingehoist.command.ChangeZone order, long version) {
+    String before = order.evacuated() ? "open" : "evacuated";
+    String after = order.evacuated() ? "evacuated" : "open";
+    String action = order.evacuated() ? "evacuateZone" : "restoreZone";
+    add(
+        new AuditRow(
+            ++sequence,
+            atMs,
+            order.actor(),
+            action,
+            order.zone(),
+            "",
+            version,
+            before,
+            after,
+            true,
+            ""));
+  }
+
   /** Adds a change of settings, accepted or refused. */
   void addSettingsChange(
       long atMs,
--- a/core/src/main/java/io/hingehoist/control/ControlState.java
+++ b/core/src/main/java/io/hingehoist/control/ControlState.java
@@ -9,6 +9,7 @@
 import io.hingehoist.command.Attached;
 import io.hingehoist.command.ChangeAgentState;
 import io.hingehoist.command.ChangeSettings;
+import io.hingehoist.command.ChangeZone;
 import io.hingehoist.command.Command;
 import io.hingehoist.command.CommandResult;
 import io.hingehoist.command.CompleteJob;
@@ -20,9 +21,12 @@
 import io.hingehoist.command.RefusalReason;
 import io.hingehoist.command.RegisterAgent;
 import io.hingehoist.command.RegisterEntry;
+import io.hingehoist.message.AgentInfo;
 import io.hingehoist.message.Bytes;
 import io.hingehoist.message.EntryKind;
+import io.hingehoist.message.EvacuatedZones;
 import io.hingehoist.message.LogEntry;
+import io.hingehoist.message.MemberState;
 import io.hingehoist.message.MembersUpdate;
 import io.hingehoist.message.OwnedJob;
 import io.hingehoist.message.SettingsUpdate;
@@ -34,6 +38,7 @@
 import io.hingehoist.state.DocumentRow;
 import io.hingehoist.state.EndedAgentRow;
 import io.hingehoist.state.EntryRow;
+import io.hingehoist.state.EvacuationsRow;
 import io.hingehoist.state.JobRow;
 import io.hingehoist.state.RevisionRow;
 import io.hingehoist.state.SettingRow;
@@ -62,8 +67,9 @@
 
   private final AuditTrail audit = new AuditTrail();
   private final DocumentTable documents = new DocumentTable();
+  private final EvacuationTable evacuations = new EvacuationTable(audit);
   private final JobTable jobs = new JobTable();
-  private final MemberTable members = new MemberTable(audit);
+  private final MemberTable members = new MemberTable(audit, evacuations);
   private final SettingsTable settings = new SettingsTable(audit);
   private long clockMs;
   private long floorMs;
@@ -92,6 +98,7 @@
       case ChangeSettings command -> settings.apply(command, clockMs);
       case AdvanceClock command -> advanceClock(command);
       case PublishDocument command -> documents.apply(command);
+      case ChangeZone command -> changeZone(command);
     };
   }
 
@@ -239,6 +246,15 @@
     return new Applied();
   }
 
+  private CommandResult changeZone(ChangeZone command) {
+    long before = evacuations.toMessage().version();
+    CommandResult result = evacuations.apply(command, clockMs);
+    if (evacuations.toMessage().version() != before) {
+      members.zoneChanged();
+    }
+    return result;
+  }
+
   // Reads.
 
   /** Returns the replicated clock, in milliseconds of the leaders' wall clocks. */
@@ -281,6 +297,11 @@
     return members.agent(agentId);
   }
 
+  /** Returns the state that an agent is to act on: no new work in an evacuated zone. */
+  public MemberState actingState(AgentInfo agent) {
+    return members.actingState(agent);
+  }
+
   /** Returns whether an incarnation of an entry is live. */
   public boolean isLiveEntry(String entryId, long incarnation) {
     return members.isLiveEntry(entryId, incarnation);
@@ -333,6 +354,11 @@
     return documents.find(name);
   }
 
+  /** Returns the evacuated availability zones, and the version of them. */
+  public EvacuatedZones evacuatedZones() {
+    return evacuations.toMessage();
+  }
+
   /** Returns the audit trail, oldest line first. */
   public List<AuditRow> audit() {
     return audit.rows();
@@ -350,6 +376,7 @@
     settings.writeTo(row -> write(row, out));
     members.writeTo(row -> write(row, out));
     documents.writeTo(row -> write(row, out));
+    evacuations.writeTo(row -> write(row, out));
     jobs.writeTo(row -> write(row, out));
     audit.rows().forEach(row -> write(row, out));
     return Bytes.copyOf(buffer.toByteArray());
@@ -388,6 +415,7 @@
       case AnsweredChangeRow row -> settings.restore(row);
       case AuditRow row -> audit.restore(row);
       case DocumentRow row -> documents.restore(row);
+      case EvacuationsRow row -> evacuations.restore(row);
     }
   }
 
--- a/core/src/main/java/io/hingehoist/control/MemberTable.java
+++ b/core/src/main/java/io/hingehoist/control/MemberTable.java
@@ -29,13 +29,15 @@
   private static final String REGISTRATION = "registration";
 
   private final AuditTrail audit;
+  private final EvacuationTable evacuations;
   private final Map<String, EntryRow> entries = new TreeMap<>();
   private final Map<String, AgentRow> agents = new TreeMap<>();
   private final List<EndedAgentRow> ended = new ArrayList<>();
   private long version;
 
-  MemberTable(AuditTrail audit) {
+  MemberTable(AuditTrail audit, EvacuationTable evacuations) {
     this.audit = audit;
+    this.evacuations = evacuations;
   }
 
   long version() {
@@ -197,12 +199,23 @@
     List<AgentInfo> present = new ArrayList<>();
     for (AgentRow row : agents.values()) {
       if (row.info().state() != MemberState.GONE) {
-        present.add(row.info());
+        present.add(withState(row.info(), actingState(row.info())));
       }
     }
     return Optional.of(new MembersUpdate(version, present));
   }
 
+  /** Returns the state that an agent is to act on: no new work in an evacuated zone. */
+  MemberState actingState(AgentInfo agent) {
+    boolean emptied = agent.state() == MemberState.LIVE && evacuations.isEvacuated(agent.zone());
+    return emptied ? MemberState.DRAINING : agent.state();
+  }
+
+  /** Notes that what agents are to act on may have changed with their zone. */
+  void zoneChanged() {
+    version++;
+  }
+
   /** Forgets ended agents that no running job can have used. */
   void retire(long floorMs) {
     ended.removeIf(row -> row.endedAtMs() < floorMs);
--- a/core/src/main/java/io/hingehoist/run/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/JobOwner.java
@@ -283,7 +283,7 @@
     task.job.possibleStarts--;
     view(task).ifPresent(WorkerView::noteOver);
     switch (report.reason()) {
-      case ROOM, NOT_READY -> {}
+      case ROOM, NOT_READY, ZONE_EVACUATED -> {}
       case OLD_NUMBER -> task.runNumber += NUMBER_STEP;
       case INVALID -> task.failures++;
       case UNHEALTHY -> view(task).ifPresent(worker -> worker.avoidUntil(nowMs + AVOID_MS));
--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -1,5 +1,6 @@
 package io.hingehoist.run;
 
+import io.hingehoist.message.EvacuatedZones;
 import io.hingehoist.message.HostRows;
 import io.hingehoist.message.Message;
 import io.hingehoist.message.OwnerWaiting;
@@ -78,8 +79,14 @@
   private final ShownRows shownRows = new ShownRows();
   private long token;
   private long tokenJump = FIRST_TOKEN_JUMP;
+  private final ZoneKnowledge zones = ZoneKnowledge.create();
   private boolean stopping;
 
+  /** Whether this host's zone is known not to be evacuated. */
+  private boolean zoneIsOpen;
+
+  private long refusedForZone;
+
   private WorkerHost(
       String hostId, long incarnation, String zone, RunTiming timing, long token, long nowMs) {
     this.hostId = hostId;
@@ -294,6 +301,42 @@
     note("ownerLost", "", session.ownerId, outcome);
   }
 
+  // Zones.
+
+  /**
+   * Takes word of the evacuated availability zones. In one of them a host starts nothing, whoever
+   * asks: an owner may not have heard of it. What runs goes on to its end: it ends within seconds,
+   * and to stop it would throw its work away.
+   *
+   * @param source who told it
+   * @return whether it is news, which is to be passed on to every owner
+   */
+  public boolean zonesLearned(EvacuatedZones heard, String source, long nowMs) {
+    if (!zones.learn(heard, nowMs)) {
+      return false;
+    }
+    zoneIsOpen = zones.allowsStartsIn(zone);
+    String outcome =
+        "version=%d evacuated=%s startsHere=%s runs=%d"
+            .formatted(heard.version(), heard.zones(), zoneIsOpen, runCount());
+    note("zonesInForce", "", source, outcome);
+    return true;
+  }
+
+  /** Returns what is known of the evacuated availability zones. */
+  public ZoneKnowledge zones() {
+    return zones;
+  }
+
+  /** Returns the number of runs that were refused as the zone is evacuated, or not known not to. */
+  public long refusedForZoneCount() {
+    return refusedForZone;
+  }
+
+  private boolean takesNothing() {
+    return stopping || !zoneIsOpen;
+  }
+
   /** Starts the runs of an order, as far as they may start. */
   public void startRuns(long sessionId, StartRuns order, long nowMs) {
     sessions.find(sessionId).ifPresent(session -> startRuns(session, order, nowMs));
@@ -326,6 +369,10 @@
 
   private Optional<RunRefusal> refusalOf(
       WorkerLife life, OwnerSession session, StartRuns order, RunRef run, long nowMs) {
+    if (!zoneIsOpen) {
+      refusedForZone++;
+      return Optional.of(RunRefusal.ZONE_EVACUATED);
+    }
     if (life == null || !takesRuns(life.state(stopping, nowMs))) {
       return Optional.of(RunRefusal.NOT_READY);
     }
@@ -467,10 +514,11 @@
 
   /**
    * Answers may be heard long after they came, by a host that stood still: an owner whose lease is
-   * over may have started the task elsewhere.
+   * over may have started the task elsewhere, and the zone may have been evacuated.
    */
   private boolean mayStart(HostedRun run, long nowMs) {
     return run.state == HostedRun.State.ORDERED
+        && zoneIsOpen
         && sessions.find(run.sessionId).filter(s -> !s.lease.isOver(nowMs)).isPresent();
   }
 
@@ -794,13 +842,15 @@
     session.shownAtMs = nowMs;
     List<WorkerRow> rows =
         lives.values().stream()
-            .map(life -> life.toRow(life.freeFor(session.id, nowMs), stopping, nowMs))
+            .map(life -> life.toRow(life.freeFor(session.id, nowMs), takesNothing(), nowMs))
             .toList();
     send(session.id, new HostRows(session.lastOrder, rows));
   }
 
   private List<WorkerRow> rows(long nowMs) {
-    return lives.values().stream().map(life -> life.toRow(life.free(), stopping, nowMs)).toList();
+    return lives.values().stream()
+        .map(life -> life.toRow(life.free(), takesNothing(), nowMs))
+        .toList();
   }
 
   private void send(long sessionId, Message message) {
--- a/core/src/main/java/io/hingehoist/run/WorkerLife.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerLife.java
@@ -149,7 +149,7 @@
     return !runs.isEmpty();
   }
 
-  WorkerRow toRow(Room free, boolean hostStops, long nowMs) {
+  WorkerRow toRow(Room free, boolean hostTakesNothing, long nowMs) {
     return new WorkerRow(
         info.workerId(),
         info.service(),
@@ -157,11 +157,11 @@
         info.labels(),
         info.capacity(),
         free,
-        state(hostStops, nowMs));
+        state(hostTakesNothing, nowMs));
   }
 
-  WorkerState state(boolean hostStops, long nowMs) {
-    if (hostStops || info.draining()) {
+  WorkerState state(boolean hostTakesNothing, long nowMs) {
+    if (hostTakesNothing || info.draining()) {
       return WorkerState.DRAINING;
     }
     if (silent || hasStrangers) {
--- a/core/src/test/java/io/hingehoist/run/PlayedLoad.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedLoad.java
@@ -93,7 +93,7 @@
     private Host(String id, Room capacity, Trouble trouble) {
       this.id = id;
       this.trouble = trouble;
-      this.decisions = WorkerHost.create(id, 1, "z", TIMING, 1, -10_000);
+      this.decisions = KnownZones.none(WorkerHost.create(id, 1, "z", TIMING, 1, -10_000));
       decisions.workerSeen(
           new WorkerInfo(id + "-w", "s", id, "z", false, capacity, List.of("a"), 1, 1), nowMs);
     }
--- a/core/src/test/java/io/hingehoist/run/PlayedRuns.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedRuns.java
@@ -89,7 +89,7 @@
     }
 
     void restart() {
-      host = WorkerHost.create(id, nowMs, "z", TIMING, 1_000 + nowMs, nowMs);
+      host = KnownZones.none(WorkerHost.create(id, nowMs, "z", TIMING, 1_000 + nowMs, nowMs));
       sessions.values().forEach(session -> session.breakNow());
       sessions.clear();
     }
--- a/core/src/test/java/io/hingehoist/run/RoomOffersTest.java
+++ b/core/src/test/java/io/hingehoist/run/RoomOffersTest.java
@@ -31,7 +31,9 @@
 
   @BeforeMethod
   public void fillAWorker() {
-    host = WorkerHost.create("h", 1, "z", TIMING, 100, 1_000 - TIMING.workerOverAfterMs());
+    host =
+        KnownZones.none(
+            WorkerHost.create("h", 1, "z", TIMING, 100, 1_000 - TIMING.workerOverAfterMs()));
     host.workerSeen(
         new WorkerInfo("w", "s", "10.0.0.1:1", "z", false, CAPACITY, List.of(), 1, 500_000), 1_000);
     host.sessionBegan(FIRST, "o1", 1_000);
--- a/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
+++ b/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.hingehoist.message.EvacuatedZones;
 import io.hingehoist.message.HostRows;
 import io.hingehoist.message.Message;
 import io.hingehoist.message.Room;
@@ -35,7 +36,8 @@
   }
 
   private WorkerHost hostWithOwner(long nowMs) {
-    WorkerHost host = WorkerHost.create("h", 1, "z", TIMING, 100, nowMs - QUIET_MS);
+    WorkerHost host =
+        KnownZones.none(WorkerHost.create("h", 1, "z", TIMING, 100, nowMs - QUIET_MS));
     host.workerSeen(worker("w1", false, 1), nowMs);
     host.sessionBegan(SESSION, "o", nowMs);
     list(host, nowMs, List.of());
@@ -244,7 +246,7 @@
 
   @Test
   public void aRestartedHostSaysNothingOfItsLastLifeWhileThatLifesLeaseMayLast() {
-    WorkerHost host = WorkerHost.create("h", 2, "z", TIMING, 100, 1_000);
+    WorkerHost host = KnownZones.none(WorkerHost.create("h", 2, "z", TIMING, 100, 1_000));
     host.sessionBegan(SESSION, "o", 1_010);
     settle(host, 1_010);
     assertFalse(told(SessionOpened.class).getFirst().formerRunsOver());
@@ -260,7 +262,7 @@
 
   @Test
   public void givesOutNoRoomWhileRunsOfItsLastLifeAreThere() {
-    WorkerHost host = WorkerHost.create("h", 2, "z", TIMING, 100, 1_000);
+    WorkerHost host = KnownZones.none(WorkerHost.create("h", 2, "z", TIMING, 100, 1_000));
     host.sessionBegan(SESSION, "o", 1_010);
     host.workerSeen(worker("w1", false, 1), 1_020);
     order(host, 1_030, run(0, 1));
@@ -411,7 +413,8 @@
 
   @Test
   public void theFirstListOfAWorkerIsAskedForWithoutAWait() {
-    WorkerHost host = WorkerHost.create("h", 1, "z", TIMING, 100, 1_000 - QUIET_MS);
+    WorkerHost host =
+        KnownZones.none(WorkerHost.create("h", 1, "z", TIMING, 100, 1_000 - QUIET_MS));
     host.workerSeen(worker("w1", false, 1), 1_000);
     settle(host, 1_000);
     assertEquals(all(HostEffect.CallHold.class).getFirst().waitMs(), 0);
@@ -498,7 +501,7 @@
   /** The host that started it is gone; the one that took its place on the box never ordered it. */
   @Test
   public void aRunWhoseStarterWasRemovedIsStoppedUntilItsEndIsListed() {
-    WorkerHost successor = WorkerHost.create("h", 2, "z", TIMING, 200, 1_000);
+    WorkerHost successor = KnownZones.none(WorkerHost.create("h", 2, "z", TIMING, 200, 1_000));
     successor.workerSeen(worker("w1", false, 1), 1_000);
     list(successor, 1_002, List.of(run(0, 1)));
     assertEquals(all(HostEffect.CallStop.class).getFirst().run(), run(0, 1));
@@ -531,4 +534,64 @@
     hearsOfAStartTooLate(new StartAnswer.Late(501_000));
     assertEquals(all(HostEffect.CallStart.class), List.of());
   }
+
+  /**
+   * An owner that has not heard of an evacuation goes on to order; only the host can refuse it.
+   * What runs goes on to its end, and its worker takes runs again once the zone is restored.
+   */
+  @Test
+  public void inAnEvacuatedZoneNothingStartsAndWhatRunsGoesOn() {
+    WorkerHost host = hostWithOwner(1_000);
+    order(host, 1_000, run(0, 1));
+    host.startAnswered("w1", run(0, 1), new StartAnswer.Started(501_000), 1_001);
+    assertTrue(host.zonesLearned(new EvacuatedZones(1, List.of("z")), "replica", 1_010));
+    settle(host, 1_010);
+    assertEquals(told(HostRows.class).getLast().workers().getFirst().state(), WorkerState.DRAINING);
+    order(host, 1_020, run(1, 1));
+    assertEquals(
+        told(RunNotStarted.class),
+        List.of(new RunNotStarted(run(1, 1), RunRefusal.ZONE_EVACUATED)));
+    assertEquals(all(HostEffect.CallStart.class), List.of());
+    assertEquals(all(HostEffect.CallStop.class), List.of());
+    assertEquals(host.refusedForZoneCount(), 1);
+    list(host, 1_100, List.of(), new HoldAnswer.Ended(1, run(0, 1), RunEnd.DONE));
+    assertEquals(told(RunEnded.class).getFirst().end(), RunEnd.DONE);
+    host.zonesLearned(new EvacuatedZones(2, List.of()), "replica", 1_200);
+    order(host, 1_210, run(1, 2));
+    assertEquals(all(HostEffect.CallStart.class).size(), 1);
+  }
+
+  @Test
+  public void theEvacuationOfAnotherZoneChangesNothing() {
+    WorkerHost host = hostWithOwner(1_000);
+    host.zonesLearned(new EvacuatedZones(1, List.of("other")), "replica", 1_010);
+    order(host, 1_020, run(0, 1));
+    assertEquals(all(HostEffect.CallStart.class).size(), 1);
+  }
+
+  /** A box may have been away while its zone was evacuated. */
+  @Test
+  public void aHostThatHasNotHeardOfTheZonesStartsNothing() {
+    WorkerHost host = WorkerHost.create("h", 1, "z", TIMING, 100, 1_000 - QUIET_MS);
+    host.workerSeen(worker("w1", false, 1), 1_000);
+    host.sessionBegan(SESSION, "o", 1_000);
+    list(host, 1_000, List.of());
+    order(host, 1_010, run(0, 1));
+    assertEquals(told(RunNotStarted.class).getFirst().reason(), RunRefusal.ZONE_EVACUATED);
+    host.zonesLearned(new EvacuatedZones(0, List.of()), "replica", 1_020);
+    order(host, 1_021, run(0, 2));
+    assertEquals(all(HostEffect.CallStart.class).size(), 1);
+  }
+
+  /** A start whose answer was lost would otherwise be sent again after the evacuation. */
+  @Test
+  public void aStartWithoutAnAnswerIsNotRepeatedOnceTheZoneIsEvacuated() {
+    WorkerHost host = hostWithOwner(1_000);
+    order(host, 1_000, run(0, 1));
+    host.zonesLearned(new EvacuatedZones(1, List.of("z")), "replica", 1_010);
+    host.startAnswered("w1", run(0, 1), new StartAnswer.Unanswered(), 1_025);
+    settle(host, 1_025);
+    assertEquals(all(HostEffect.CallStart.class), List.of());
+    assertEquals(all(HostEffect.CallStop.class).getFirst().run(), run(0, 1));
+  }
 }
--- a/daemon/src/main/java/io/hingehoist/adapter/Adapter.java
+++ b/daemon/src/main/java/io/hingehoist/adapter/Adapter.java
@@ -21,7 +21,7 @@
   HttpHandler frontDoor(JobIntake intake);
 
   /** Serves operators. */
-  HttpHandler controlDoor(Configurations configurations);
+  HttpHandler controlDoor(OperatorOrders orders);
 
   /** Serves workers that make themselves known. */
   HttpHandler workerDoor(WorkerRegistry registry);
--- a/daemon/src/main/java/io/hingehoist/adapter/Configurations.java
+++ b/daemon/src/main/java/io/hingehoist/adapter/OperatorOrders.java
@@ -5,16 +5,23 @@
 import java.util.function.Consumer;
 
 /** What a control replica offers to operators. Used on the event loop. */
-public interface Configurations {
+public interface OperatorOrders {
 
   /** What became of a request to the log. */
   sealed interface Result {
-    /** The version is held, or a higher one is. */
+    /**
+     * The order is in the log.
+     *
+     * @param heldVersion the version of the configuration, or of the evacuations, that is held
+     */
     record Accepted(long heldVersion) implements Result {}
 
     /** The version is held with another content. */
     record Conflict(long heldVersion) implements Result {}
 
+    /** The order can't be taken, and has changed nothing. */
+    record Refused(String reason) implements Result {}
+
     /** The newest version; 0 and nothing if there is none. */
     record Newest(long version, Bytes content) implements Result {}
 
@@ -25,6 +32,12 @@
     record Unknown() implements Result {}
   }
 
+  /** Evacuates an availability zone, so that nothing more is started there. */
+  void evacuate(String zone, Consumer<Result> result);
+
+  /** Lets an evacuated availability zone be used again. */
+  void restore(String zone, Consumer<Result> result);
+
   /** Publishes a version of the configuration. */
   void publish(long version, Bytes content, Consumer<Result> result);
 
--- a/daemon/src/main/java/io/hingehoist/daemon/AdaptedProcess.java
+++ b/daemon/src/main/java/io/hingehoist/daemon/AdaptedProcess.java
@@ -15,7 +15,7 @@
 import io.hingehoist.net.HttpServer;
 import io.hingehoist.owner.OwnerNode;
 import io.hingehoist.quorum.ControlNode;
-import io.hingehoist.quorum.LocalConfigurations;
+import io.hingehoist.quorum.LocalOrders;
 import io.hingehoist.settings.ControlSection;
 import io.hingehoist.settings.HostSection;
 import io.hingehoist.settings.NodeSection;
@@ -102,10 +102,9 @@
             Thread.ofVirtual().name("traffic").factory(),
             Main::halt);
     if (!section.doorAddress().isEmpty()) {
-      LocalConfigurations configurations =
-          LocalConfigurations.of(control, loop, OwnerNode.CONFIGURATION);
+      LocalOrders orders = LocalOrders.of(control, loop, OwnerNode.CONFIGURATION);
       HttpServer.open(
-          loop, section.doorAddress(), MAX_DOOR_BODY_BYTES, adapter.controlDoor(configurations));
+          loop, section.doorAddress(), MAX_DOOR_BODY_BYTES, adapter.controlDoor(orders));
     }
     serveMetrics(section.metricsAddress());
     watch(changed -> control.reload(changed.node()));
--- a/daemon/src/main/java/io/hingehoist/entry/OperatorResource.java
+++ b/daemon/src/main/java/io/hingehoist/entry/OperatorResource.java
@@ -3,10 +3,13 @@
 import com.fasterxml.jackson.annotation.JsonInclude;
 import io.hingehoist.command.ChangeAgentState;
 import io.hingehoist.command.ChangeSettings;
+import io.hingehoist.command.ChangeZone;
 import io.hingehoist.command.CommandResult;
 import io.hingehoist.command.MemberRefused;
 import io.hingehoist.command.SettingsAccepted;
 import io.hingehoist.command.SettingsRefused;
+import io.hingehoist.command.ZoneAccepted;
+import io.hingehoist.command.ZoneRefused;
 import io.hingehoist.message.MemberState;
 import jakarta.inject.Inject;
 import jakarta.ws.rs.Consumes;
@@ -31,7 +34,7 @@
 @Consumes(MediaType.APPLICATION_JSON)
 public final class OperatorResource {
   private static final Set<String> REPORTS =
-      Set.of("settings", "tree", "history", "members", "audit", "status");
+      Set.of("settings", "tree", "history", "members", "zones", "audit", "status");
   private static final int UNPROCESSABLE = 422;
   private static final long CHANGE_TIMEOUT_MS = 10_000;
 
@@ -39,8 +42,8 @@
   record ChangeBody(
       String changeId, Long baseRevision, String path, String key, String value, String operator) {}
 
-  /** The JSON body of a change of an agent's state, unchecked. */
-  record DrainBody(String operator) {}
+  /** The JSON body of a change of an agent's or a zone's state, unchecked. */
+  record StateBody(String operator) {}
 
   /** The JSON answer to a change. */
   @JsonInclude(JsonInclude.Include.NON_NULL)
@@ -93,7 +96,7 @@
   @POST
   @Path("/members/{agentId}/drain")
   public void drain(
-      @PathParam("agentId") String agentId, DrainBody body, @Suspended AsyncResponse response) {
+      @PathParam("agentId") String agentId, StateBody body, @Suspended AsyncResponse response) {
     changeState(agentId, MemberState.DRAINING, body, response);
   }
 
@@ -101,13 +104,35 @@
   @POST
   @Path("/members/{agentId}/undrain")
   public void undrain(
-      @PathParam("agentId") String agentId, DrainBody body, @Suspended AsyncResponse response) {
+      @PathParam("agentId") String agentId, StateBody body, @Suspended AsyncResponse response) {
     changeState(agentId, MemberState.LIVE, body, response);
   }
 
+  /** Evacuates an availability zone: its agents take no new work. */
+  @POST
+  @Path("/zones/{zone}/evacuate")
+  public void evacuate(
+      @PathParam("zone") String zone, StateBody body, @Suspended AsyncResponse response) {
+    changeZone(zone, true, body, response);
+  }
+
+  /** Lets the agents of an evacuated availability zone take work again. */
+  @POST
+  @Path("/zones/{zone}/restore")
+  public void restore(
+      @PathParam("zone") String zone, StateBody body, @Suspended AsyncResponse response) {
+    changeZone(zone, false, body, response);
+  }
+
+  private void changeZone(String zone, boolean evacuated, StateBody body, AsyncResponse response) {
+    StateBody present = Submissions.required("(whole body)", body);
+    String operator = Submissions.id("operator", present.operator());
+    propose(new ChangeZone(Submissions.id("zone", zone), evacuated, operator), response);
+  }
+
   private void changeState(
-      String agentId, MemberState state, DrainBody body, AsyncResponse response) {
-    DrainBody present = Submissions.required("(whole body)", body);
+      String agentId, MemberState state, StateBody body, AsyncResponse response) {
+    StateBody present = Submissions.required("(whole body)", body);
     String operator = Submissions.id("operator", present.operator());
     propose(new ChangeAgentState(agentId, 0, state, "operator", operator), response);
   }
@@ -123,6 +148,8 @@
       case SettingsAccepted accepted -> answer(200, "accepted", accepted.revision(), null);
       case SettingsRefused refused -> answer(statusOf(refused), refused);
       case MemberRefused refused -> answer(404, "refused", null, refused.detail());
+      case ZoneAccepted accepted -> answer(200, "accepted", accepted.version(), null);
+      case ZoneRefused refused -> answer(UNPROCESSABLE, "refused", null, refused.detail());
       default -> answer(200, "accepted", null, null);
     };
   }
--- a/daemon/src/main/java/io/hingehoist/host/HostNode.java
+++ b/daemon/src/main/java/io/hingehoist/host/HostNode.java
@@ -7,6 +7,7 @@
 import io.hingehoist.log.DecisionLog;
 import io.hingehoist.message.Announce;
 import io.hingehoist.message.DocumentUpdate;
+import io.hingehoist.message.EvacuatedZones;
 import io.hingehoist.message.Message;
 import io.hingehoist.message.OwnerBeat;
 import io.hingehoist.message.OwnerWaiting;
@@ -22,6 +23,7 @@
 import io.hingehoist.net.PeerHandler;
 import io.hingehoist.net.PeerServer;
 import io.hingehoist.net.PlannedStop;
+import io.hingehoist.net.ZoneGauges;
 import io.hingehoist.quorum.ControlAddresses;
 import io.hingehoist.run.HostEffect;
 import io.hingehoist.run.RunTiming;
@@ -99,6 +101,11 @@
     loop.every(host::onTick, TICK_MS);
     metrics.addGauge("hingehoist_host_runs", "Runs that are not over.", host.host::runCount);
     metrics.addGauge("hingehoist_host_workers", "Workers.", host.host::workerCount);
+    metrics.addGauge(
+        "hingehoist_host_starts_refused_for_zone",
+        "Runs refused as the zone is evacuated, or not known not to be.",
+        host.host::refusedForZoneCount);
+    ZoneGauges.add(metrics, host.host.zones());
     metrics.addGauge(
         "hingehoist_log_lines_dropped", "Log lines dropped under load.", log::droppedCount);
     return host;
@@ -196,6 +203,14 @@
     settleLater();
   }
 
+  /** An owner that reaches no control replica hears of a change from hosts that do. */
+  private void learnZones(EvacuatedZones zones, String source) {
+    if (host.zonesLearned(zones, source, EventLoop.nowMs())) {
+      owners.sendToAll(zones);
+      settleLater();
+    }
+  }
+
   private final class OwnerListener implements OwnerLinks.Listener {
     @Override
     public void onBegan(long sessionId, String ownerId) {
@@ -211,6 +226,7 @@
         case OwnerWaiting news -> host.ownerWaiting(sessionId, news, now);
         case StartRuns order -> host.startRuns(sessionId, order, now);
         case StopRun order -> host.stopRun(sessionId, order.run(), now);
+        case EvacuatedZones zones -> learnZones(zones, "session=" + sessionId);
         default -> owners.close(sessionId);
       }
       settleLater();
@@ -243,6 +259,11 @@
     @Override
     public void onDocument(DocumentUpdate update) {}
 
+    @Override
+    public void onZones(String address, EvacuatedZones zones) {
+      learnZones(zones, address);
+    }
+
     @Override
     public void onControl(String address, boolean found) {
       log.write(found ? "controlFound" : "controlLost", address, "");
--- a/daemon/src/main/java/io/hingehoist/host/OwnerLinks.java
+++ b/daemon/src/main/java/io/hingehoist/host/OwnerLinks.java
@@ -144,6 +144,13 @@
             });
   }
 
+  /** Sends a message that each owner may also hear elsewhere, to those that are connected. */
+  void sendToAll(Message message) {
+    sessionsByOwner
+        .values()
+        .forEach(session -> session.channel.ifPresent(channel -> channel.send(message)));
+  }
+
   private static Message shortest(Session session, Message message) {
     return message instanceof HostRows rows ? session.rows.toSend(rows) : message;
   }
--- a/daemon/src/main/java/io/hingehoist/net/ControlLinks.java
+++ b/daemon/src/main/java/io/hingehoist/net/ControlLinks.java
@@ -7,6 +7,7 @@
 import io.hingehoist.message.Announce;
 import io.hingehoist.message.Directory;
 import io.hingehoist.message.DocumentUpdate;
+import io.hingehoist.message.EvacuatedZones;
 import io.hingehoist.message.Hello;
 import io.hingehoist.message.Message;
 import io.hingehoist.message.Peer;
@@ -50,6 +51,9 @@
     /** Takes a committed document. */
     void onDocument(DocumentUpdate update);
 
+    /** Takes word of the evacuated availability zones. */
+    void onZones(String address, EvacuatedZones zones);
+
     /** Notes that a control replica was found or lost. */
     void onControl(String address, boolean found);
   }
@@ -182,6 +186,7 @@
       switch (message) {
         case Directory update -> take(update);
         case DocumentUpdate update -> listener.onDocument(update);
+        case EvacuatedZones zones -> listener.onZones(link.frames.address(), zones);
         case QueryResponse response -> take(response);
         default -> channel.close();
       }
--- a/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
+++ b/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
@@ -140,6 +140,13 @@
     }
   }
 
+  /** Sends a message that each host may also hear elsewhere, to those that are connected. */
+  void sendToAll(Message message) {
+    sessions
+        .values()
+        .forEach(session -> session.channel.ifPresent(channel -> channel.send(message)));
+  }
+
   /** Beats, and gives up hosts that are silent. Called at short intervals. */
   void onTick(long nowMs) {
     watch.onTick(nowMs);
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -5,6 +5,7 @@
 import io.hingehoist.directory.PeerDirectory;
 import io.hingehoist.log.DecisionLog;
 import io.hingehoist.message.DocumentUpdate;
+import io.hingehoist.message.EvacuatedZones;
 import io.hingehoist.message.HostRows;
 import io.hingehoist.message.Message;
 import io.hingehoist.message.Peer;
@@ -19,6 +20,7 @@
 import io.hingehoist.net.HttpCall;
 import io.hingehoist.net.HttpServer;
 import io.hingehoist.net.PlannedStop;
+import io.hingehoist.net.ZoneGauges;
 import io.hingehoist.quorum.ControlAddresses;
 import io.hingehoist.route.RouteTable;
 import io.hingehoist.run.JobEnd;
@@ -26,6 +28,7 @@
 import io.hingehoist.run.JobPlan;
 import io.hingehoist.run.OwnerEffect;
 import io.hingehoist.run.RunTiming;
+import io.hingehoist.run.ZoneKnowledge;
 import io.hingehoist.settings.NodeSection;
 import io.hingehoist.settings.OwnerSection;
 import io.hingehoist.wire.Addresses;
@@ -69,6 +72,7 @@
   private final ControlLinks controls;
   private final HostSessions hosts;
   private final HttpServer front;
+  private final ZoneKnowledge zones = ZoneKnowledge.create();
   private RouteTable routes = RouteTable.empty();
   private long tickedAtMs;
   private boolean settling;
@@ -135,6 +139,7 @@
     metrics.addGauge("hingehoist_owner_jobs", "Jobs without an answer.", owner.jobs::jobCount);
     metrics.addGauge(
         "hingehoist_owner_queued_tasks", "Tasks that wait for room.", owner.jobs::queuedCount);
+    ZoneGauges.add(metrics, owner.zones);
     metrics.addGauge(
         "hingehoist_log_lines_dropped", "Log lines dropped under load.", log::droppedCount);
     return owner;
@@ -303,6 +308,22 @@
     log.write("configurationInForce", node.nodeId(), "version=" + version);
   }
 
+  /**
+   * Passes news on to every host, before any further order to it: a host in an evacuated zone
+   * refuses, also where it reaches no control replica itself.
+   */
+  private void learnZones(EvacuatedZones heard, String source) {
+    if (zones.learn(heard, EventLoop.nowMs())) {
+      String outcome = "version=%d evacuated=%s".formatted(heard.version(), heard.zones());
+      log.write("zonesInForce", source, outcome);
+      hosts.sendToAll(heard);
+    }
+  }
+
+  private void tellZones(String hostId) {
+    zones.newest().ifPresent(newest -> hosts.send(hostId, newest));
+  }
+
   private final class ControlListener implements ControlLinks.Listener {
     @Override
     public void onDirectory(PeerDirectory directory) {}
@@ -314,6 +335,11 @@
       }
     }
 
+    @Override
+    public void onZones(String address, EvacuatedZones heard) {
+      learnZones(heard, address);
+    }
+
     @Override
     public void onControl(String address, boolean found) {
       log.write(found ? "controlFound" : "controlLost", address, "");
@@ -323,6 +349,7 @@
   private final class HostListener implements HostSessions.Listener {
     @Override
     public void onOpened(String hostId, SessionOpened opened) {
+      tellZones(hostId);
       jobs.sessionOpened(hostId, opened.zone(), opened.hostIncarnation(), opened.formerRunsOver());
       settleLater();
     }
@@ -337,6 +364,7 @@
           jobs.runEnded(hostId, ended, now);
         }
         case RunNotStarted report -> jobs.runNotStarted(hostId, report, now);
+        case EvacuatedZones heard -> learnZones(heard, hostId);
         default -> metrics.noteBadFrame();
       }
       settleLater();
@@ -357,6 +385,7 @@
     public void onResumed(String hostId, long suspendedForMs, int repeatedMessages) {
       String outcome = "suspendedForMs=%d repeated=%d".formatted(suspendedForMs, repeatedMessages);
       log.write("sessionResumed", hostId, outcome);
+      tellZones(hostId);
       jobs.sessionResumed(hostId);
       settleLater();
     }
--- a/daemon/src/main/java/io/hingehoist/quorum/ClientRequests.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ClientRequests.java
@@ -178,7 +178,7 @@
             ? current.isLiveEntry(nodeId, request.incarnation())
             : current.isCurrentAgent(nodeId, request.incarnation());
     MemberState memberState =
-        current.agent(nodeId).map(row -> row.info().state()).orElse(MemberState.LIVE);
+        current.agent(nodeId).map(row -> current.actingState(row.info())).orElse(MemberState.LIVE);
     return new HeartbeatResponse(
         request.requestId(),
         ReplyStatus.OK,
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -2,6 +2,7 @@
 
 import io.hingehoist.command.AdvanceClock;
 import io.hingehoist.command.ChangeAgentState;
+import io.hingehoist.command.ChangeZone;
 import io.hingehoist.command.Command;
 import io.hingehoist.command.CommandResult;
 import io.hingehoist.command.CompleteJob;
@@ -9,6 +10,7 @@
 import io.hingehoist.command.PublishDocument;
 import io.hingehoist.command.SettingsAccepted;
 import io.hingehoist.command.SettingsRefused;
+import io.hingehoist.command.ZoneAccepted;
 import io.hingehoist.control.ControlState;
 import io.hingehoist.control.Liveness;
 import io.hingehoist.journal.Disk;
@@ -18,6 +20,7 @@
 import io.hingehoist.message.AppendResponse;
 import io.hingehoist.message.Bytes;
 import io.hingehoist.message.EntryKind;
+import io.hingehoist.message.EvacuatedZones;
 import io.hingehoist.message.HeartbeatRequest;
 import io.hingehoist.message.Hello;
 import io.hingehoist.message.JoinRequest;
@@ -103,6 +106,7 @@
   private long appliedIndex;
   private long snapshotIndex;
   private boolean documentsChanged;
+  private long publishedZonesVersion = -1;
   private long tickedAtMs;
   private long clockAtMs;
   private volatile boolean closed;
@@ -294,13 +298,14 @@
   }
 
   /**
-   * Until a document was accepted, none is before all voters are there: it must bear their loss.
+   * Until a document was accepted, neither one nor an order about a zone is before all voters are
+   * there: it must bear their loss.
    */
   private boolean mayPropose(MessageSink client, ProposeRequest request) {
     Optional<Command> command = ClientRequests.commandOf(client, request);
     boolean early =
         command.isPresent()
-            && command.get() instanceof PublishDocument
+            && (command.get() instanceof PublishDocument || command.get() instanceof ChangeZone)
             && state.documents().isEmpty()
             && replica.isLeader()
             && replica.voters().size() < voterCount;
@@ -427,6 +432,16 @@
       documentsChanged = false;
       state.documents().forEach(discovery::publish);
     }
+    Optional<EvacuatedZones> zones = knownZones();
+    if (zones.isPresent() && zones.get().version() != publishedZonesVersion) {
+      publishedZonesVersion = zones.get().version();
+      discovery.publish(zones.get());
+    }
+  }
+
+  /** A replica with an empty log, whose disk was lost perhaps, knows nothing of the zones. */
+  private Optional<EvacuatedZones> knownZones() {
+    return appliedIndex == 0 ? Optional.empty() : Optional.of(state.evacuatedZones());
   }
 
   /** Makes this replica known to the others, and takes note of where they are. */
@@ -444,7 +459,8 @@
 
   private void handle(ControlEvent.Announced announced, long now) {
     links.heard(announced.announce().self().address(), now);
-    discovery.onAnnounce(announced.sender(), announced.announce(), state.documents(), now);
+    discovery.onAnnounce(
+        announced.sender(), announced.announce(), state.documents(), knownZones(), now);
   }
 
   private void apply(LogEntry entry) {
@@ -452,6 +468,7 @@
     appliedIndex = entry.index();
     noteSettingsChange(result);
     noteDocument(entry, result);
+    noteZones(entry, result);
     if (entry.kind() == EntryKind.COMMAND) {
       requests.applied(entry.index(), result);
       completedJob(entry).ifPresent(requests::jobEnded);
@@ -471,6 +488,15 @@
     }
   }
 
+  private void noteZones(LogEntry entry, CommandResult result) {
+    if (result instanceof ZoneAccepted accepted) {
+      EvacuatedZones zones = state.evacuatedZones();
+      LOG.infof(
+          "event=zonesApplied version=%d evacuated=%s index=%d",
+          accepted.version(), zones.zones(), entry.index());
+    }
+  }
+
   private void noteSettingsChange(CommandResult result) {
     switch (result) {
       case SettingsAccepted accepted -> {
@@ -511,6 +537,7 @@
     state = ControlState.fromBytes(snapshot.state());
     appliedIndex = snapshot.lastIndex();
     snapshotIndex = snapshot.lastIndex();
+    documentsChanged = true;
     LOG.infof("event=snapshotInstalled index=%d", snapshot.lastIndex());
   }
 
--- a/daemon/src/main/java/io/hingehoist/quorum/Discovery.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/Discovery.java
@@ -4,6 +4,7 @@
 import io.hingehoist.message.Announce;
 import io.hingehoist.message.Directory;
 import io.hingehoist.message.DocumentUpdate;
+import io.hingehoist.message.EvacuatedZones;
 import io.hingehoist.message.Peer;
 import io.hingehoist.message.Role;
 import io.hingehoist.state.DocumentRow;
@@ -25,16 +26,30 @@
 
   private final Peer self;
   private final PeerDirectory directory = PeerDirectory.create(KEPT_MS);
+
+  /** Those that are told of documents. */
   private final Set<MessageSink> followers = new HashSet<>();
+
+  /** Those that are told of evacuated zones. */
+  private final Set<MessageSink> zoneFollowers = new HashSet<>();
+
   private long announcedAtMs;
 
   Discovery(Peer self) {
     this.self = self;
   }
 
-  /** Takes an announcement, and answers one that did not come from a control replica. */
+  /**
+   * Takes an announcement, and answers one that did not come from a control replica.
+   *
+   * @param zones the evacuated zones, if this replica knows anything of them yet
+   */
   void onAnnounce(
-      MessageSink sender, Announce announce, Collection<DocumentRow> documents, long nowMs) {
+      MessageSink sender,
+      Announce announce,
+      Collection<DocumentRow> documents,
+      Optional<EvacuatedZones> zones,
+      long nowMs) {
     directory.told(announce.self(), nowMs);
     announce.known().forEach(peer -> directory.learned(peer, nowMs));
     if (announce.self().role() == Role.CONTROL) {
@@ -43,6 +58,9 @@
     directory.told(self, nowMs);
     boolean current = announce.directoryVersion() == directory.version();
     sender.send(new Directory(directory.version(), current ? List.of() : directory.peers()));
+    if (zoneFollowers.add(sender)) {
+      zones.ifPresent(sender::send);
+    }
     if (announce.self().role() == Role.ENTRY && followers.add(sender)) {
       documents.forEach(row -> sender.send(toUpdate(row)));
     }
@@ -56,6 +74,7 @@
     announcedAtMs = nowMs;
     directory.expire(nowMs);
     followers.removeIf(follower -> !follower.isOpen());
+    zoneFollowers.removeIf(follower -> !follower.isOpen());
     List<Peer> known = directory.fresh(nowMs);
     return Optional.of(
         new Announce(self, known.subList(0, Math.min(MAX_PASSED_ON, known.size())), 0));
@@ -70,6 +89,11 @@
     followers.forEach(follower -> follower.send(toUpdate(row)));
   }
 
+  /** Brings the evacuated zones to every process that announced itself. */
+  void publish(EvacuatedZones zones) {
+    zoneFollowers.forEach(follower -> follower.send(zones));
+  }
+
   private static DocumentUpdate toUpdate(DocumentRow row) {
     return new DocumentUpdate(row.name(), row.version(), row.content());
   }
--- a/daemon/src/main/java/io/hingehoist/quorum/LocalConfigurations.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/LocalOrders.java
@@ -1,6 +1,7 @@
 package io.hingehoist.quorum;
 
-import io.hingehoist.adapter.Configurations;
+import io.hingehoist.adapter.OperatorOrders;
+import io.hingehoist.command.ChangeZone;
 import io.hingehoist.command.CommandResult;
 import io.hingehoist.command.DocumentAccepted;
 import io.hingehoist.command.DocumentConflict;
@@ -8,6 +9,8 @@
 import io.hingehoist.command.GetDocument;
 import io.hingehoist.command.PublishDocument;
 import io.hingehoist.command.QueryAnswer;
+import io.hingehoist.command.ZoneAccepted;
+import io.hingehoist.command.ZoneRefused;
 import io.hingehoist.message.Bytes;
 import io.hingehoist.message.Message;
 import io.hingehoist.message.ProposeRequest;
@@ -23,27 +26,28 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
-/**
- * Publishes and reads the configuration by the replica of this process. Owned by the event loop.
- */
-public final class LocalConfigurations implements Configurations {
+/** Carries operators' orders out by the replica of this process. Owned by the event loop. */
+public final class LocalOrders implements OperatorOrders {
   private static final long TIMEOUT_MS = 2_500;
 
+  /** Who gives the orders, for the audit trail: the door does not learn more of them. */
+  private static final String OPERATOR = "operator";
+
   private final ControlNode control;
   private final EventLoop loop;
   private final String document;
   private final Map<Long, Consumer<Result>> pending = new HashMap<>();
   private long nextRequest;
 
-  private LocalConfigurations(ControlNode control, EventLoop loop, String document) {
+  private LocalOrders(ControlNode control, EventLoop loop, String document) {
     this.control = control;
     this.loop = loop;
     this.document = document;
   }
 
-  /** Returns the configuration that a document of the log holds. */
-  public static LocalConfigurations of(ControlNode control, EventLoop loop, String document) {
-    return new LocalConfigurations(control, loop, document);
+  /** Returns the orders of a replica, whose configuration is a document of the log. */
+  public static LocalOrders of(ControlNode control, EventLoop loop, String document) {
+    return new LocalOrders(control, loop, document);
   }
 
   @Override
@@ -52,6 +56,21 @@
     submit(id -> new ProposeRequest(id, command), result);
   }
 
+  @Override
+  public void evacuate(String zone, Consumer<Result> result) {
+    changeZone(new ChangeZone(zone, true, OPERATOR), result);
+  }
+
+  @Override
+  public void restore(String zone, Consumer<Result> result) {
+    changeZone(new ChangeZone(zone, false, OPERATOR), result);
+  }
+
+  private void changeZone(ChangeZone order, Consumer<Result> result) {
+    Bytes command = order.toBytes();
+    submit(id -> new ProposeRequest(id, command), result);
+  }
+
   @Override
   public void readNewest(Consumer<Result> result) {
     Bytes query = new GetDocument(document).toBytes();
@@ -105,6 +124,8 @@
     return switch (result) {
       case DocumentAccepted accepted -> new Result.Accepted(accepted.heldVersion());
       case DocumentConflict conflict -> new Result.Conflict(conflict.heldVersion());
+      case ZoneAccepted accepted -> new Result.Accepted(accepted.version());
+      case ZoneRefused refused -> new Result.Refused(refused.detail());
       default -> new Result.Unknown();
     };
   }
--- a/daemon/src/main/java/io/hingehoist/quorum/Reports.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/Reports.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.hingehoist.control.ControlState;
 import io.hingehoist.message.AgentInfo;
+import io.hingehoist.message.EvacuatedZones;
 import io.hingehoist.message.ReplicaInfo;
 import io.hingehoist.replication.Replica;
 import io.hingehoist.settings.SettingsPath;
@@ -14,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.TreeMap;
 
 /** Static helpers that render the applied state for operators, as JSON. */
 final class Reports {
@@ -38,6 +40,10 @@
 
   private record Members(long version, List<Member> members) {}
 
+  private record Zone(String zone, String state, int agents) {}
+
+  private record Zones(long version, List<Zone> zones) {}
+
   private record Audit(List<AuditRow> rows) {}
 
   private record ReplicaLine(String replicaId, String address, boolean voter) {}
@@ -65,6 +71,7 @@
           case "history" -> new Audit(settingsRows(argument, state));
           case "audit" -> new Audit(state.audit());
           case "members" -> members(state);
+          case "zones" -> zones(state);
           case "status" -> status(state, replica);
           default -> new Problem("there is no report " + report);
         };
@@ -120,8 +127,8 @@
           new Member(
               "agent",
               info.agentId(),
-              info.state().name(),
-              row.stateSource(),
+              state.actingState(info).name(),
+              state.actingState(info) == info.state() ? row.stateSource() : "zone",
               info.zone(),
               info.address(),
               info.service(),
@@ -131,6 +138,22 @@
     return new Members(state.membersSince(-1).orElseThrow().version(), members);
   }
 
+  /** The evacuated zones, and those that members name. */
+  private static Zones zones(ControlState state) {
+    EvacuatedZones evacuated = state.evacuatedZones();
+    TreeMap<String, Integer> agentsByZone = new TreeMap<>();
+    evacuated.zones().forEach(zone -> agentsByZone.put(zone, 0));
+    state.entries().forEach(row -> agentsByZone.putIfAbsent(row.zone(), 0));
+    state.agents().forEach(row -> agentsByZone.merge(row.info().zone(), 1, Integer::sum));
+    List<Zone> zones = new ArrayList<>();
+    agentsByZone.forEach(
+        (zone, agents) -> {
+          String shown = evacuated.zones().contains(zone) ? "evacuated" : "open";
+          zones.add(new Zone(zone, shown, agents));
+        });
+    return new Zones(evacuated.version(), zones);
+  }
+
   private static Status status(ControlState state, Replica replica) {
     List<ReplicaLine> replicas = new ArrayList<>();
     for (ReplicaInfo voter : replica.voters()) {
--- a/daemon/src/test/java/io/hingehoist/quorum/FiveReplicasTest.java
+++ b/daemon/src/test/java/io/hingehoist/quorum/FiveReplicasTest.java
@@ -3,7 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 
-import io.hingehoist.adapter.Configurations.Result;
+import io.hingehoist.adapter.OperatorOrders.Result;
 import io.hingehoist.command.GetReport;
 import io.hingehoist.command.QueryAnswer;
 import io.hingehoist.command.Report;
@@ -143,18 +143,17 @@
         given.getOrDefault(name, FieldSpecs.find(specs, name).orElseThrow().defaultValue());
   }
 
-  private Result ask(int index, Consumer<AskedConfigurations> request) throws Exception {
+  private Result ask(int index, Consumer<AskedOrders> request) throws Exception {
     CompletableFuture<Result> result = new CompletableFuture<>();
     ControlNode replica = replicas.get(index).orElseThrow();
     loop.execute(
         () ->
             request.accept(
-                new AskedConfigurations(
-                    LocalConfigurations.of(replica, loop, "configuration"), result)));
+                new AskedOrders(LocalOrders.of(replica, loop, "configuration"), result)));
     return result.get(30, TimeUnit.SECONDS);
   }
 
-  private record AskedConfigurations(LocalConfigurations log, CompletableFuture<Result> result) {}
+  private record AskedOrders(LocalOrders log, CompletableFuture<Result> result) {}
 
   private Result publish(int index, long version, Bytes content) throws Exception {
     return ask(index, asked -> asked.log().publish(version, content, asked.result()::complete));
@@ -164,6 +163,18 @@
     return ask(index, asked -> asked.log().readNewest(asked.result()::complete));
   }
 
+  private Result evacuateSomewhere(String zone) throws Exception {
+    for (int i = 0; isTimeLeft(); i++) {
+      List<Integer> indexes = running();
+      int index = indexes.get(i % indexes.size());
+      Result result = ask(index, asked -> asked.log().evacuate(zone, asked.result()::complete));
+      if (result instanceof Result.Accepted) {
+        return result;
+      }
+    }
+    throw new AssertionError("no clear answer to the evacuation of " + zone);
+  }
+
   private List<Integer> running() {
     List<Integer> indexes = new ArrayList<>();
     for (int i = 0; i < REPLICAS; i++) {
@@ -308,4 +319,46 @@
     assertEquals(publishSomewhere(2, TWO), new Result.Accepted(3));
     assertEquals(readSomewhere(), new Result.Newest(3, ONE));
   }
+
+  @Test
+  public void anEvacuationOutlivesTheReplicasThatAcceptedIt() throws Exception {
+    found();
+    for (int i = 0; i < REPLICAS; i++) {
+      start(i);
+    }
+    publishSomewhere(1, ONE);
+    assertEquals(evacuateSomewhere("z1"), new Result.Accepted(1));
+    assertEquals(evacuateSomewhere("z1"), new Result.Accepted(1));
+    for (int lost : List.of(1, 4)) {
+      close(lost);
+      deleteFolder(dataFolder(lost));
+    }
+    assertEquals(evacuateSomewhere("z2"), new Result.Accepted(2));
+    start(1);
+    start(4);
+    awaitVoter(1);
+    awaitVoter(4);
+    // All lose power at once, and two of those that accepted the first order are gone.
+    for (int i = 0; i < REPLICAS; i++) {
+      close(i);
+    }
+    for (int i : List.of(0, 1, 4)) {
+      start(i);
+    }
+    assertEquals(evacuateSomewhere("z1"), new Result.Accepted(2));
+    assertEquals(evacuateSomewhere("z2"), new Result.Accepted(2));
+  }
+
+  @Test
+  public void noEvacuationIsAcceptedBeforeEveryVoterIsThere() throws Exception {
+    found();
+    for (int i = 0; i < REPLICAS - 1; i++) {
+      start(i);
+    }
+    for (int i = 0; i < 40; i++) {
+      int index = i % (REPLICAS - 1);
+      Result result = ask(index, asked -> asked.log().evacuate("z1", asked.result()::complete));
+      assertFalse(result instanceof Result.Accepted);
+    }
+  }
 }
--- a/scenarios/src/test/java/io/hingehoist/scenario/OperatorSteps.java
+++ b/scenarios/src/test/java/io/hingehoist/scenario/OperatorSteps.java
@@ -141,9 +141,22 @@
 
   @When("an operator drains {word}")
   public void drain(String agent) {
+    order("/v1/members/" + agent + "/drain");
+  }
+
+  @When("an operator evacuates {word}")
+  public void evacuate(String zone) {
+    order("/v1/zones/" + zone + "/evacuate");
+  }
+
+  @When("an operator restores {word}")
+  public void restore(String zone) {
+    order("/v1/zones/" + zone + "/restore");
+  }
+
+  private void order(String path) {
     ObjectNode body = Deployment.newObject().put("operator", "kim");
-    String path = "/v1/members/" + agent + "/drain";
-    Answered answer = deployment.post("drain", deployment.anyReadyServer(), path, body).join();
+    Answered answer = deployment.post("order", deployment.anyReadyServer(), path, body).join();
     assertEquals(answer.status(), 200, answer.toString());
   }
 }
