--- a/scenarios/src/test/resources/features/6-leaving.feature
+++ b/scenarios/src/test/resources/features/6-leaving.feature
@@ -30,3 +30,14 @@
     And no task of job after starts at agent-2
     When the platform lists agent-2 as live
     Then agent-2 is LIVE for everyone
+
+  Scenario: An operator evacuates an availability zone and restores it
+    Given a cluster with 2 agents
+    When an operator evacuates zone-1
+    Then agent-1 is DRAINING for everyone
+    When an operator evacuates zone-1
+    And job after of 20 tasks of 20 ms is submitted at server 2
+    Then every answer to after is complete
+    And no task of job after starts at agent-1
+    When an operator restores zone-1
+    Then agent-1 is LIVE for everyone
