A lease only where something runs: pairs without a run beat once a second

Cause: every owner beat to every host each 200 ms and was answered, though few pairs have a run between them: at 11 owners and 65 hosts 7,150 messages a second that say that nothing happened.

Change: a pair without a run beats once a second; the first order comes with a heartbeat before it, on the same connection, so that the lease is taken up without a round trip. A session without runs outlives its lease and is over after 2.5 s without a heartbeat. Where runs go on, everything is as before. An owner that hears nothing where it has just ordered makes itself known, and the host opens another connection.

Ruled out: one beat for all pairs through a relay (a relay that fails takes all leases with it); no sessions with the other hosts (what fits nowhere else is placed there).

Tests: OpenRunsTest, WorkerHostTest. aBeatThatWasHeldUpRenewsNothing has a run now, as only a session with one ends with its lease, and checks that the run is stopped; beside it, that nothing starts on such a beat.

--- a/core/src/main/java/io/hingehoist/run/OwnerSession.java
+++ b/core/src/main/java/io/hingehoist/run/OwnerSession.java
@@ -25,6 +25,10 @@
   final LeaseClock lease;
   private final Map<String, Waiting> waitingByService = new HashMap<>();
   boolean formerRunsOver;
+
+  /** The number of this session's runs that are not over. */
+  int runCount;
+
   long lastOrder;
 
   /** Whether the owner is to be shown the workers at once. */
--- a/core/src/main/java/io/hingehoist/run/RunTiming.java
+++ b/core/src/main/java/io/hingehoist/run/RunTiming.java
@@ -20,6 +20,18 @@
    */
   private static final long LONGEST_LEASE_MS = 800;
 
+  /**
+   * The period of an owner's heartbeats to a host where runs of it may be going on. A lease of 650
+   * ms is left with 450 for a silent connection to be noticed (300) and replaced.
+   */
+  public static final long BEAT_MS = 200;
+
+  /** The same where nothing of the owner runs, so that no lease needs to be renewed. */
+  public static final long IDLE_BEAT_MS = 1_000;
+
+  /** A session without runs is over after two lost heartbeats and 500 ms for what holds one up. */
+  public static final long IDLE_SESSION_MS = 2 * IDLE_BEAT_MS + 500;
+
   /**
    * Returns the times that follow from those of a platform.
    *
--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -363,6 +363,7 @@
     }
     HostedRun hosted = new HostedRun(run, order, session.id, nowMs);
     life.add(hosted);
+    session.runCount++;
     life.offers.taken(session.id, order.need());
     callStart(life, hosted, nowMs);
   }
@@ -480,7 +481,7 @@
       }
       case StartAnswer.Refused refused -> {
         noteAnswer(life, run, nowMs);
-        life.remove(run);
+        remove(life, run);
         refuse(run.sessionId, run.run, life.id(), refused.reason());
       }
       case StartAnswer.Unanswered unanswered -> startUnanswered(life, run, nowMs);
@@ -708,13 +709,18 @@
   }
 
   private void over(WorkerLife life, HostedRun run, RunEnd how, long nowMs) {
-    life.remove(run);
+    remove(life, run);
     long ranMs = Math.max(0, nowMs - run.orderedAtMs);
     String outcome = "run=" + run.run.number() + " end=" + how + " ms=" + ranMs;
     note("runOver", run.run.task(), life.id(), outcome);
     send(run.sessionId, new RunEnded(run.run, how, ranMs));
   }
 
+  private void remove(WorkerLife life, HostedRun run) {
+    life.remove(run);
+    sessions.find(run.sessionId).ifPresent(session -> session.runCount--);
+  }
+
   private void sendHold(WorkerLife life, long nowMs) {
     if (life.holdOpen) {
       return;
@@ -763,7 +769,7 @@
   /** Does what the time has made due. */
   public void onTick(long nowMs) {
     for (OwnerSession session : sessions.all()) {
-      if (session.lease.isOver(nowMs)) {
+      if (isOver(session, nowMs)) {
         closeSession(session, "lease over", nowMs);
       }
     }
@@ -774,6 +780,13 @@
     tellOfFormerRuns(nowMs);
   }
 
+  /** Where nothing of an owner runs, it need not renew its lease; it does before it orders. */
+  private static boolean isOver(OwnerSession session, long nowMs) {
+    boolean leaseOver = session.lease.isOver(nowMs);
+    return leaseOver
+        && (session.runCount > 0 || session.lease.ageMs(nowMs) >= RunTiming.IDLE_SESSION_MS);
+  }
+
   private boolean hasRunsOf(long sessionId) {
     return lives.values().stream()
         .flatMap(life -> life.runs().stream())
--- a/core/src/test/java/io/hingehoist/run/PlayedLoad.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedLoad.java
@@ -28,14 +28,13 @@
  * earned, by a seed and the same each time.
  *
  * <p>Three kinds of job come, as on the users' platform: many short tasks first in priority, then
- * pairs of middling ones, then a few long ones. Each kind is worth the same in all. A job earns its
- * worth if it is complete by its objective, a fifth of it up to three times as late.
+ * pairs of middling ones, then a few long ones. A job earns its worth if it is complete by its
+ * objective, a fifth of it up to three times as late.
  */
 final class PlayedLoad {
   private static final long LINK_MS = 1;
   private static final long WORKER_MS = 1;
   private static final long TICK_MS = 50;
-  private static final long BEAT_MS = 180;
   private static final double LATE_WORTH = 0.2;
   private static final double EARLY_REFUSAL_PRICE = 0.14;
   private static final int LATE_FACTOR = 3;
@@ -46,11 +45,25 @@
   /** One kind of job. */
   private record Kind(int priority, double perSecond, int width, long taskMs, double worth) {}
 
-  private static final List<Kind> KINDS =
-      List.of(
-          new Kind(0, 24.1, 8, 86, 0.0291),
-          new Kind(1, 70, 2, 286, 0.01),
-          new Kind(2, 4.37, 4, 1_286, 0.16));
+  /** What comes each second on eleven workers. */
+  enum Mix {
+    /** Each kind is worth the same in all; some two thirds of the room are used. */
+    EVEN(
+        new Kind(0, 24.1, 8, 86, 0.0291),
+        new Kind(1, 70, 2, 286, 0.01),
+        new Kind(2, 4.37, 4, 1_286, 0.16)),
+    /** Half of the worth and of the work is in the long tasks, which come last in priority. */
+    MOSTLY_LONG(
+        new Kind(0, 19.6, 8, 86, 0.0291),
+        new Kind(1, 57.5, 2, 286, 0.01),
+        new Kind(2, 7.8, 4, 1_286, 0.16));
+
+    private final List<Kind> kinds;
+
+    Mix(Kind... kinds) {
+      this.kinds = List.of(kinds);
+    }
+  }
 
   /**
    * A time in which some workers do less.
@@ -88,6 +101,8 @@
     private final Map<RunRef, Long> runs = new LinkedHashMap<>();
     private final List<HoldAnswer.Ended> ended = new ArrayList<>();
     private final Trouble trouble;
+    private final Map<Integer, OpenRuns> openRuns = new HashMap<>();
+    private final Map<Integer, Long> beatAtMs = new HashMap<>();
     private Optional<HostEffect.CallHold> openHold = Optional.empty();
 
     private Host(String id, Room capacity, Trouble trouble) {
@@ -98,7 +113,11 @@
           new WorkerInfo(id + "-w", "s", id, "z", false, capacity, List.of("a"), 1, 1), nowMs);
     }
 
-    private void take(long owner, Message message) {
+    private void take(int owner, Message message) {
+      if (message instanceof StartRuns && openRuns(owner).isEmpty()) {
+        beat(owner);
+      }
+      openRuns(owner).note(message);
       switch (message) {
         case OwnerWaiting news -> decisions.ownerWaiting(owner, news, nowMs);
         case StartRuns order -> {
@@ -113,10 +132,23 @@
 
     private void beat() {
       for (int owner = 0; owner < owners.size(); owner++) {
-        decisions.ownerBeat(owner, nowMs, owners.get(owner).follows(id), nowMs);
+        long periodMs = openRuns(owner).isEmpty() ? RunTiming.IDLE_BEAT_MS : RunTiming.BEAT_MS;
+        if (nowMs - beatAtMs.getOrDefault(owner, -periodMs) >= periodMs) {
+          beat(owner);
+        }
       }
       settle();
-      after(BEAT_MS, this::beat);
+      after(TICK_MS, this::beat);
+    }
+
+    private void beat(int owner) {
+      beats++;
+      beatAtMs.put(owner, nowMs);
+      decisions.ownerBeat(owner, nowMs, owners.get(owner).follows(id), nowMs);
+    }
+
+    private OpenRuns openRuns(int owner) {
+      return openRuns.computeIfAbsent(owner, o -> OpenRuns.create());
     }
 
     private void tick() {
@@ -144,6 +176,7 @@
 
     private void arrive(int owner, HostEffect.ToOwner to) {
       JobOwner jobs = owners.get(owner);
+      openRuns(owner).note(to.message());
       switch (to.message()) {
         case SessionOpened opened ->
             jobs.sessionOpened(id, opened.zone(), 1, opened.formerRunsOver());
@@ -221,18 +254,24 @@
   private final Map<String, Host> hosts = new LinkedHashMap<>();
   private final Map<String, Caller> callers = new HashMap<>();
   private final Map<String, Long> workMs = new HashMap<>();
-  private final double[] owed = new double[KINDS.size()];
-  private final double[] earned = new double[KINDS.size()];
+  private final Mix mix;
+  private final double[] owed;
+  private final double[] earned;
   private long sequence;
   private long refusals;
   private long rowsShown;
+  private long beats;
   private long orders;
   private double heldWorth;
   private long nowMs = 1;
   private int jobCount;
 
-  private PlayedLoad(long seed, int ownerCount, int hostCount, int followedHosts, Trouble trouble) {
+  private PlayedLoad(
+      long seed, Mix mix, int ownerCount, int hostCount, int followedHosts, Trouble trouble) {
     this.random = new Random(seed);
+    this.mix = mix;
+    this.owed = new double[mix.kinds.size()];
+    this.earned = new double[mix.kinds.size()];
     for (int i = 0; i < ownerCount; i++) {
       owners.add(JobOwner.create(TIMING, "o" + i, "z", followedHosts));
     }
@@ -263,7 +302,21 @@
       double loadFactor,
       long lengthMs,
       Trouble trouble) {
-    PlayedLoad load = new PlayedLoad(seed, ownerCount, hostCount, followedHosts, trouble);
+    return play(
+        seed, Mix.EVEN, ownerCount, hostCount, followedHosts, loadFactor, lengthMs, trouble);
+  }
+
+  /** Plays a mix of work. */
+  static PlayedLoad play(
+      long seed,
+      Mix mix,
+      int ownerCount,
+      int hostCount,
+      int followedHosts,
+      double loadFactor,
+      long lengthMs,
+      Trouble trouble) {
+    PlayedLoad load = new PlayedLoad(seed, mix, ownerCount, hostCount, followedHosts, trouble);
     load.run(loadFactor, lengthMs);
     return load;
   }
@@ -292,6 +345,11 @@
     return rowsShown;
   }
 
+  /** Returns the number of heartbeats that owners sent. */
+  long beats() {
+    return beats;
+  }
+
   /** Returns the number of orders that owners sent; each carries the text of its job. */
   long orders() {
     return orders;
@@ -315,7 +373,7 @@
     }
     // Traffic begins once the workers are known.
     nowMs += 500;
-    KINDS.forEach(kind -> arrive(kind, loadFactor, lengthMs));
+    mix.kinds.forEach(kind -> arrive(kind, loadFactor, lengthMs));
     while (!timeline.isEmpty() && timeline.peek().atMs() <= lengthMs + 10_000) {
       Timed next = timeline.remove();
       nowMs = Math.max(nowMs, next.atMs());
--- a/core/src/test/java/io/hingehoist/run/PlayedLoadMain.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedLoadMain.java
@@ -15,7 +15,8 @@
 
   private record Named(String name, PlayedLoad.Trouble trouble) {}
 
-  private static final List<Fleet> FLEETS = List.of(new Fleet(3, 11, 11), new Fleet(6, 44, 24));
+  private static final List<Fleet> FLEETS =
+      List.of(new Fleet(3, 11, 11), new Fleet(6, 44, 24), new Fleet(11, 65, 24));
 
   private static final List<Named> TROUBLES =
       List.of(
@@ -31,18 +32,25 @@
   public static void main(String[] args) {
     int seeds = args.length > 0 ? Integer.parseInt(args[0]) : 5;
     System.out.println(
-        "owners hosts trouble  load  earned  first second  third    held refused  orders    rows");
+        "owners hosts mix         trouble  load  earned  first second  third    held refused"
+            + "  orders    rows   beats");
     for (Fleet fleet : FLEETS) {
-      for (Named trouble : TROUBLES) {
-        for (double factor : new double[] {0.8, 0.95, 1.2, 1.45, 1.8, 2.2}) {
-          print(fleet, trouble, factor, play(fleet, trouble.trouble(), factor, seeds));
+      for (PlayedLoad.Mix mix : PlayedLoad.Mix.values()) {
+        for (Named trouble : TROUBLES) {
+          print(fleet, mix, trouble, seeds);
         }
       }
     }
   }
 
+  private static void print(Fleet fleet, PlayedLoad.Mix mix, Named trouble, int seeds) {
+    for (double factor : new double[] {0.8, 0.95, 1.2, 1.45, 1.8, 2.2}) {
+      print(fleet, mix, trouble, factor, play(fleet, mix, trouble.trouble(), factor, seeds));
+    }
+  }
+
   private static List<PlayedLoad> play(
-      Fleet fleet, PlayedLoad.Trouble trouble, double factor, int seeds) {
+      Fleet fleet, PlayedLoad.Mix mix, PlayedLoad.Trouble trouble, double factor, int seeds) {
     double load = factor * fleet.hosts() / HOSTS_OF_USUAL_LOAD;
     return LongStream.rangeClosed(1, seeds)
         .parallel()
@@ -50,6 +58,7 @@
             seed ->
                 PlayedLoad.play(
                     seed,
+                    mix,
                     fleet.owners(),
                     fleet.hosts(),
                     fleet.followedHosts(),
@@ -59,11 +68,13 @@
         .toList();
   }
 
-  private static void print(Fleet fleet, Named trouble, double factor, List<PlayedLoad> loads) {
+  private static void print(
+      Fleet fleet, PlayedLoad.Mix mix, Named trouble, double factor, List<PlayedLoad> loads) {
     System.out.printf(
-        "%6d %5d %-7s %5.2f  %.4f  %.3f  %.3f  %.3f  %.4f %7.0f %7.0f %7.0f%n",
+        "%6d %5d %-11s %-7s %5.2f  %.4f  %.3f  %.3f  %.3f  %.4f %7.0f %7.0f %7.0f %7.0f%n",
         fleet.owners(),
         fleet.hosts(),
+        mix,
         trouble.name(),
         factor,
         mean(loads, PlayedLoad::earnedShare),
@@ -73,7 +84,8 @@
         mean(loads, PlayedLoad::heldShare),
         mean(loads, PlayedLoad::refusals),
         mean(loads, PlayedLoad::orders),
-        mean(loads, PlayedLoad::rowsShown));
+        mean(loads, PlayedLoad::rowsShown),
+        mean(loads, PlayedLoad::beats));
   }
 
   private static double mean(List<PlayedLoad> loads, ToDoubleFunction<PlayedLoad> figure) {
--- a/core/src/test/java/io/hingehoist/run/PlayedRuns.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedRuns.java
@@ -218,6 +218,8 @@
     final long id = ++lastSession;
     final SessionStream ownerStream = SessionStream.create();
     final SessionStream hostStream = SessionStream.create();
+    final OpenRuns openRuns = OpenRuns.create();
+    long runsSinceMs;
     boolean silent;
     long suspendedAtMs;
     int connection;
@@ -245,6 +247,11 @@
     }
 
     void toHost(Message message) {
+      if (message instanceof StartRuns && openRuns.isEmpty()) {
+        runsSinceMs = nowMs;
+        carryToHost(new OwnerBeat(nowMs, owner.jobs.follows(box.id)));
+      }
+      openRuns.note(message);
       ownerStream.noteSent(message);
       carryToHost(message);
     }
@@ -312,6 +319,7 @@
         return;
       }
       heardByOwnerMs = nowMs;
+      openRuns.note(message);
       ownerStream.noteReceived(message).ifPresent(this::carryToHost);
       switch (message) {
         case SessionAck ack -> ownerStream.acknowledged(ack.receivedCount());
@@ -398,13 +406,21 @@
         if (nowMs - suspendedAtMs >= TIMING.ownerLeaseMs()) {
           loseAtOwner(true, suspendedAtMs);
         }
-      } else if (nowMs - heardByOwnerMs >= TIMING.ownerLeaseMs()) {
+      } else if (nowMs - silentSinceMs() >= sessionMs()) {
         loseAtOwner(true);
-      } else if (nowMs % BEAT_MS < 25) {
+      } else if (nowMs % (openRuns.isEmpty() ? RunTiming.IDLE_BEAT_MS : BEAT_MS) < 25) {
         toHost(new OwnerBeat(nowMs, owner.jobs.follows(box.id)));
       }
     }
 
+    private long silentSinceMs() {
+      return openRuns.isEmpty() ? heardByOwnerMs : Math.max(heardByOwnerMs, runsSinceMs);
+    }
+
+    private long sessionMs() {
+      return openRuns.isEmpty() ? RunTiming.IDLE_SESSION_MS : TIMING.ownerLeaseMs();
+    }
+
     private void endAtHost() {
       if (openAtHost && box.host == host && !box.stands()) {
         openAtHost = false;
--- a/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
+++ b/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
@@ -214,11 +214,23 @@
   public void aBeatThatWasHeldUpRenewsNothing() {
     WorkerHost host = hostWithOwner(1_000);
     host.ownerBeat(SESSION, 5_000, true, 1_000);
+    order(host, 1_000, run(0, 1));
+    host.startAnswered("w1", run(0, 1), new StartAnswer.Started(501_000), 1_002);
     // Sent 100 ms after the first, it comes 600 ms after it.
     host.ownerBeat(SESSION, 5_100, true, 1_600);
     host.onTick(1_100 + TIMING.ownerLeaseMs());
     settle(host, 1_750);
     assertEquals(all(HostEffect.CloseSession.class).size(), 1);
+    assertEquals(all(HostEffect.CallStop.class).getFirst().run(), run(0, 1));
+  }
+
+  @Test
+  public void aBeatThatWasHeldUpLetsNothingStart() {
+    WorkerHost host = hostWithOwner(1_000);
+    host.ownerBeat(SESSION, 5_000, true, 1_000);
+    host.ownerBeat(SESSION, 5_100, true, 1_600);
+    order(host, 1_100 + TIMING.ownerLeaseMs(), run(0, 1));
+    assertEquals(told(RunNotStarted.class).getFirst().reason(), RunRefusal.NOT_READY);
   }
 
   @Test
@@ -594,4 +606,46 @@
     assertEquals(all(HostEffect.CallStart.class), List.of());
     assertEquals(all(HostEffect.CallStop.class).getFirst().run(), run(0, 1));
   }
+
+  /** Pairs of an owner and a host without a run between them renew no lease. */
+  @Test
+  public void aSessionWithoutRunsOutlivesItsLeaseAndTakesItUpAgain() {
+    WorkerHost host = hostWithOwner(1_000);
+    host.ownerBeat(SESSION, 1_000, true, 1_000);
+    host.onTick(1_000 + RunTiming.IDLE_SESSION_MS - 1);
+    settle(host, 1_000 + RunTiming.IDLE_SESSION_MS - 1);
+    assertEquals(all(HostEffect.CloseSession.class), List.of());
+    host.ownerBeat(SESSION, 3_000, true, 3_000);
+    order(host, 3_001, run(0, 1));
+    assertEquals(all(HostEffect.CallStart.class).size(), 1);
+  }
+
+  @Test
+  public void anOrderThatComesWithoutALeaseIsRefused() {
+    WorkerHost host = hostWithOwner(1_000);
+    host.ownerBeat(SESSION, 1_000, true, 1_000);
+    order(host, 1_000 + TIMING.ownerLeaseMs(), run(0, 1));
+    assertEquals(told(RunNotStarted.class).getFirst().reason(), RunRefusal.NOT_READY);
+  }
+
+  @Test
+  public void aSessionWithoutRunsIsOverOnceHeartbeatsAreMissing() {
+    WorkerHost host = hostWithOwner(1_000);
+    host.ownerBeat(SESSION, 1_000, true, 1_000);
+    host.onTick(1_000 + RunTiming.IDLE_SESSION_MS);
+    settle(host, 1_000 + RunTiming.IDLE_SESSION_MS);
+    assertEquals(all(HostEffect.CloseSession.class).size(), 1);
+  }
+
+  @Test
+  public void aLeaseThatEndsWhileARunGoesOnEndsTheSession() {
+    WorkerHost host = hostWithOwner(1_000);
+    host.ownerBeat(SESSION, 1_000, true, 1_000);
+    order(host, 1_001, run(0, 1));
+    host.startAnswered("w1", run(0, 1), new StartAnswer.Started(501_000), 1_002);
+    host.onTick(1_000 + TIMING.ownerLeaseMs());
+    settle(host, 1_000 + TIMING.ownerLeaseMs());
+    assertEquals(all(HostEffect.CloseSession.class).size(), 1);
+    assertEquals(all(HostEffect.CallStop.class).getFirst().run(), run(0, 1));
+  }
 }
--- a/daemon/src/main/java/io/hingehoist/host/HostNode.java
+++ b/daemon/src/main/java/io/hingehoist/host/HostNode.java
@@ -279,6 +279,7 @@
     public void onMessage(PeerChannel channel, Message message) {
       if (message instanceof Announce announce) {
         controls.told(announce.self());
+        owners.replaceFor(announce.self());
       }
     }
 
--- a/daemon/src/main/java/io/hingehoist/host/OwnerLinks.java
+++ b/daemon/src/main/java/io/hingehoist/host/OwnerLinks.java
@@ -14,6 +14,8 @@
 import io.hingehoist.net.PeerHandler;
 import io.hingehoist.net.PeerLink;
 import io.hingehoist.net.SilenceWatch;
+import io.hingehoist.run.OpenRuns;
+import io.hingehoist.run.RunTiming;
 import io.hingehoist.run.SentRows;
 import io.hingehoist.run.SessionStream;
 import io.hingehoist.wire.FrameConnection;
@@ -31,11 +33,14 @@
  */
 final class OwnerLinks implements AutoCloseable {
   /**
-   * The time without a heartbeat after which a connection is replaced: the owner's period of 200 ms
-   * and 100 for what holds one up. That leaves 350 of the lease of 650 ms for the next connection.
-   * Orders that came later don't count, as they renew no lease.
+   * The time without a heartbeat after which a connection is replaced: the owner's period and 100
+   * ms for what holds one up. Where runs are going on that leaves 350 of the lease of 650 ms for
+   * the next connection. Orders that came later don't count, as they renew no lease.
    */
-  private static final long SILENT_AFTER_MS = 300;
+  private static final long SILENT_AFTER_MS = RunTiming.BEAT_MS + 100;
+
+  /** The same where nothing of the owner runs, with as much for a slow owner as for its lease. */
+  private static final long IDLE_SILENT_AFTER_MS = RunTiming.IDLE_BEAT_MS + 300;
 
   /** Takes what happens on sessions, on the event loop. */
   interface Listener {
@@ -60,6 +65,7 @@
   private static final class Session {
     private final long id;
     private final SessionStream stream = SessionStream.create();
+    private final OpenRuns openRuns = OpenRuns.create();
     private Optional<PeerChannel> channel;
     private SentRows rows = SentRows.create();
     private long beatAtMs;
@@ -70,6 +76,10 @@
       this.channel = Optional.of(channel);
     }
 
+    private long silentAfterMs() {
+      return openRuns.isEmpty() ? IDLE_SILENT_AFTER_MS : SILENT_AFTER_MS;
+    }
+
     private boolean isOn(PeerChannel other) {
       return channel.filter(other::equals).isPresent();
     }
@@ -121,10 +131,16 @@
 
   void onTick(long nowMs) {
     watch.onTick(nowMs);
-    links.values().forEach(link -> link.onTick(nowMs));
+    links.forEach((owner, link) -> tick(owner, link, nowMs));
     Map.copyOf(sessionsByOwner).forEach(this::replaceIfSilent);
   }
 
+  private void tick(String owner, PeerLink link, long nowMs) {
+    Session session = sessionsByOwner.get(owner);
+    link.replaceAfterSilenceOf(session == null ? SILENT_AFTER_MS : session.silentAfterMs());
+    link.onTick(nowMs);
+  }
+
   private void replaceIfSilent(String owner, Session session) {
     PeerLink link = links.get(owner);
     if (link != null
@@ -140,10 +156,22 @@
         .ifPresent(
             session -> {
               session.stream.noteSent(message);
+              session.openRuns.note(message);
               session.channel.ifPresent(channel -> channel.send(shortest(session, message)));
             });
   }
 
+  /**
+   * Opens another connection to an owner that made itself known here though a session with it goes
+   * on: it hears nothing on the one that is open.
+   */
+  void replaceFor(Peer owner) {
+    PeerLink link = links.get(owner.address());
+    if (link != null && link.channel().isPresent()) {
+      link.replace();
+    }
+  }
+
   /** Sends a message that each owner may also hear elsewhere, to those that are connected. */
   void sendToAll(Message message) {
     sessionsByOwner
@@ -218,6 +246,7 @@
     private void receive(Session session, PeerChannel channel, Message message) {
       if (session.isOn(channel)) {
         session.stream.noteReceived(message).ifPresent(channel::send);
+        session.openRuns.note(message);
         if (message instanceof OwnerBeat) {
           session.beatAtMs = EventLoop.nowMs();
         }
--- a/daemon/src/main/java/io/hingehoist/net/PeerLink.java
+++ b/daemon/src/main/java/io/hingehoist/net/PeerLink.java
@@ -35,11 +35,11 @@
   private final EventLoop loop;
   private final String address;
   private final String ownAddress;
-  private final long silentAfterMs;
   private final Supplier<Hello> hello;
   private final PeerHandler handler;
   private final Metrics metrics;
   private final SilenceWatch watch = SilenceWatch.create(EventLoop.nowMs());
+  private long silentAfterMs;
   private int patience = 1;
   private long replacedHeardAtMs;
   private Optional<PeerChannel> current = Optional.empty();
@@ -98,6 +98,11 @@
     return current.isPresent() && current.get().send(message);
   }
 
+  /** Sets the time without a frame after which a connection is replaced from now on. */
+  public void replaceAfterSilenceOf(long newSilentAfterMs) {
+    silentAfterMs = newSilentAfterMs;
+  }
+
   /** Replaces a connection on which nothing is heard. Called at short intervals. */
   public void onTick(long nowMs) {
     watch.onTick(nowMs);
--- a/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
+++ b/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
@@ -12,6 +12,7 @@
 import io.hingehoist.message.SessionOpened;
 import io.hingehoist.message.SessionResumed;
 import io.hingehoist.message.SessionUnknown;
+import io.hingehoist.message.StartRuns;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.net.EventLoop;
 import io.hingehoist.net.PeerChannel;
@@ -19,7 +20,9 @@
 import io.hingehoist.net.PeerLink;
 import io.hingehoist.net.PeerServer;
 import io.hingehoist.net.SilenceWatch;
+import io.hingehoist.run.OpenRuns;
 import io.hingehoist.run.ReceivedRows;
+import io.hingehoist.run.RunTiming;
 import io.hingehoist.run.SessionStream;
 import io.hingehoist.wire.FrameConnection;
 import java.io.IOException;
@@ -38,16 +41,14 @@
  * the event loop.
  */
 final class HostSessions implements AutoCloseable {
-  /**
-   * A lease of 650 ms is left with 450 for a silent connection to be noticed (300) and replaced.
-   */
-  private static final long BEAT_MS = 200;
-
   /**
    * The time without a frame after which a host gets nothing new: hosts answer each heartbeat, but
    * for those that come within 100 ms of rows that were shown, and 50 ms for what holds them up.
    */
-  private static final long SILENT_AFTER_MS = 350;
+  private static final long SILENT_AFTER_MS = RunTiming.BEAT_MS + 150;
+
+  /** The same where nothing of this owner runs. */
+  private static final long IDLE_SILENT_AFTER_MS = RunTiming.IDLE_BEAT_MS + 350;
 
   private static final long KNOCK_PAUSE_MS = 600;
   private static final long KNOCK_OPEN_MS = 300;
@@ -86,9 +87,14 @@
     private final long id;
     private final long hostIncarnation;
     private final SessionStream stream = SessionStream.create();
+    private final OpenRuns openRuns = OpenRuns.create();
     private Optional<PeerChannel> channel;
     private ReceivedRows rows = ReceivedRows.create();
     private long suspendedAtMs;
+    private long beatAtMs;
+
+    /** When the oldest of the runs that may be going on was ordered. */
+    private long runsSinceMs;
 
     /** Whether the connection is open but nothing is heard on it. */
     private boolean unheard;
@@ -102,6 +108,19 @@
     private boolean isOn(PeerChannel other) {
       return channel.filter(other::equals).isPresent();
     }
+
+    private boolean isIdle() {
+      return openRuns.isEmpty();
+    }
+
+    private long silentAfterMs() {
+      return isIdle() ? IDLE_SILENT_AFTER_MS : SILENT_AFTER_MS;
+    }
+
+    /** A host that had little to say is not silent yet when the first run is ordered there. */
+    private long silentSinceMs(PeerChannel open) {
+      return isIdle() ? open.heardAtMs() : Math.max(open.heardAtMs(), runsSinceMs);
+    }
   }
 
   private final EventLoop loop;
@@ -113,7 +132,6 @@
   private final Map<String, Session> sessions = new HashMap<>();
   private final Map<String, Long> knockedAtMs = new HashMap<>();
   private final SilenceWatch watch = SilenceWatch.create(EventLoop.nowMs());
-  private long beatAtMs;
 
   HostSessions(
       EventLoop loop,
@@ -134,10 +152,21 @@
   /** Sends a message on a session's connection, or on its next one if it must arrive. */
   void send(String hostId, Message message) {
     Session session = sessions.get(hostId);
-    if (session != null) {
-      session.stream.noteSent(message);
-      session.channel.ifPresent(channel -> channel.send(message));
+    if (session == null) {
+      return;
+    }
+    if (message instanceof StartRuns && session.isIdle()) {
+      takeUpLease(hostId, session);
     }
+    session.stream.noteSent(message);
+    session.openRuns.note(message);
+    session.channel.ifPresent(channel -> channel.send(message));
+  }
+
+  /** Where nothing ran the lease was left to end, so the first order comes with a new one. */
+  private void takeUpLease(String hostId, Session session) {
+    session.runsSinceMs = EventLoop.nowMs();
+    session.channel.ifPresent(channel -> beat(hostId, session, channel));
   }
 
   /** Sends a message that each host may also hear elsewhere, to those that are connected. */
@@ -153,15 +182,19 @@
     for (Map.Entry<String, Session> entry : List.copyOf(sessions.entrySet())) {
       check(entry.getKey(), entry.getValue(), nowMs);
     }
-    if (nowMs - beatAtMs >= BEAT_MS) {
-      beatAtMs = nowMs;
-      sessions.forEach(
-          (hostId, session) -> session.channel.ifPresent(channel -> beat(hostId, channel)));
+    sessions.forEach((hostId, session) -> beatIfDue(hostId, session, nowMs));
+  }
+
+  private void beatIfDue(String hostId, Session session, long nowMs) {
+    long periodMs = session.isIdle() ? RunTiming.IDLE_BEAT_MS : RunTiming.BEAT_MS;
+    if (nowMs - session.beatAtMs >= periodMs) {
+      session.channel.ifPresent(channel -> beat(hostId, session, channel));
     }
   }
 
-  private void beat(String hostId, PeerChannel channel) {
-    channel.send(new OwnerBeat(EventLoop.nowMs(), listener.follows(hostId)));
+  private void beat(String hostId, Session session, PeerChannel channel) {
+    session.beatAtMs = EventLoop.nowMs();
+    channel.send(new OwnerBeat(session.beatAtMs, listener.follows(hostId)));
   }
 
   private void check(String hostId, Session session, long nowMs) {
@@ -171,13 +204,13 @@
       }
       return;
     }
-    long heardAtMs = session.channel.get().heardAtMs();
-    if (watch.isSilent(heardAtMs, silenceMs)) {
+    long sinceMs = session.silentSinceMs(session.channel.get());
+    if (watch.isSilent(sinceMs, session.isIdle() ? RunTiming.IDLE_SESSION_MS : silenceMs)) {
       lose(hostId, true, nowMs);
-    } else if (!session.unheard && watch.isSilent(heardAtMs, SILENT_AFTER_MS)) {
+    } else if (!session.unheard && watch.isSilent(sinceMs, session.silentAfterMs())) {
       session.unheard = true;
       session.suspendedAtMs = nowMs;
-      listener.onSuspended(hostId, nowMs - heardAtMs);
+      listener.onSuspended(hostId, nowMs - session.channel.get().heardAtMs());
     }
   }
 
@@ -192,20 +225,20 @@
     listener.onSuspended(hostId, nowMs - former.heardAtMs());
   }
 
-  /** Makes this owner known to hosts that have no session with it. */
+  /** Makes this owner known to hosts that have no session with it, or are not heard on theirs. */
   void knock(List<Peer> hosts, long nowMs) {
     for (Peer host : hosts) {
       boolean due = nowMs - knockedAtMs.getOrDefault(host.address(), 0L) >= KNOCK_PAUSE_MS;
-      if (due && !isConnected(host.nodeId())) {
+      if (due && !isHeard(host.nodeId())) {
         knockedAtMs.put(host.address(), nowMs);
         knock(host);
       }
     }
   }
 
-  private boolean isConnected(String hostId) {
+  private boolean isHeard(String hostId) {
     Session session = sessions.get(hostId);
-    return session != null && session.channel.isPresent();
+    return session != null && session.channel.isPresent() && !session.unheard;
   }
 
   private void knock(Peer host) {
@@ -263,6 +296,7 @@
       Session session = sessions.get(host.nodeId());
       if (session != null && session.isOn(channel)) {
         session.stream.noteReceived(message).ifPresent(channel::send);
+        session.openRuns.note(message);
         noteHeard(host.nodeId(), session);
         receive(host.nodeId(), session, message);
         return;
@@ -290,6 +324,7 @@
       sessions.put(host.nodeId(), session);
       session.stream.noteReceived(opened);
       // Whether this host will be followed is known only once it has said more of itself.
+      session.beatAtMs = nowMs;
       channel.send(new OwnerBeat(nowMs, true));
       listener.onOpened(host.nodeId(), opened);
     }
@@ -311,7 +346,7 @@
       session.channel = Optional.of(channel);
       session.rows = ReceivedRows.create();
       channel.send(new SessionResumed(session.id, session.stream.receivedCount()));
-      beat(host.nodeId(), channel);
+      beat(host.nodeId(), session, channel);
       session.stream.kept().forEach(channel::send);
       long suspendedForMs = EventLoop.nowMs() - session.suspendedAtMs;
       listener.onResumed(host.nodeId(), suspendedForMs, session.stream.keptCount());
