--- a/daemon/src/main/java/io/hingehoist/host/OwnerLinks.java
+++ b/daemon/src/main/java/io/hingehoist/host/OwnerLinks.java
@@ -163,13 +163,19 @@
 
   /**
    * Opens another connection to an owner that made itself known here though a session with it goes
-   * on: it hears nothing on the one that is open.
+   * on, if it was not heard for a while on the one that is open: that one has fallen silent, where
+   * nothing ran perhaps, so that no heartbeat is missed yet. An owner that was just heard has only
+   * not read yet what this host said, and a new connection would cost it more.
    */
   void replaceFor(Peer owner) {
     PeerLink link = links.get(owner.address());
-    if (link != null && link.channel().isPresent()) {
-      link.replace();
+    if (link == null) {
+      return;
     }
+    long nowMs = EventLoop.nowMs();
+    link.channel()
+        .filter(channel -> nowMs - channel.heardAtMs() >= SILENT_AFTER_MS)
+        .ifPresent(channel -> link.replace());
   }
 
   /** Sends a message that each owner may also hear elsewhere, to those that are connected. */
