A heartbeat names a worker only if it is whole and sound

Cause: the door took any state but draining for ready, whatever service was named, and what was missing or of another type for nothing; for a worker that is known, a heartbeat with another service made it a worker that nobody asks.

What is ignored changes nothing, is answered with field, value and what is allowed, counted by problem, and logged once a writer and problem, 100 lines at most. A known life keeps its service and its address.

Ruled out: to take the address from the settings as well (what a wrong one names is asked first, and answers as another).

--- a/core/src/main/java/io/hingehoist/run/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerHost.java
@@ -122,6 +122,8 @@
     WorkerLife known = lives.get(info.workerId());
     if (known == null) {
       unknownSeen(new WorkerLife(info, timing, nowMs), nowMs);
+    } else if (!known.isSameAs(info)) {
+      note("heartbeatIgnored", "", info.workerId(), "it names another service or address");
     } else if (known.update(info)) {
       note("workerDraining", "", info.workerId(), "version=" + info.version());
     }
--- a/core/src/main/java/io/hingehoist/run/WorkerLife.java
+++ b/core/src/main/java/io/hingehoist/run/WorkerLife.java
@@ -57,6 +57,11 @@
     return info.workerId();
   }
 
+  /** Returns whether an account may be of this life, which keeps its service and its address. */
+  boolean isSameAs(WorkerInfo account) {
+    return account.service().equals(info.service()) && account.address().equals(info.address());
+  }
+
   /** Takes a newer account; returns whether it shows something else. */
   boolean update(WorkerInfo newer) {
     if (newer.version() < info.version()) {
--- a/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
+++ b/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
@@ -664,4 +664,18 @@
     settle(host, 2_600);
     assertEquals(all(HostEffect.CloseSession.class).size(), 1);
   }
+
+  /**
+   * Taken for the worker's own, such a heartbeat made it a worker of a service that nobody asks.
+   */
+  @Test
+  public void aHeartbeatThatNamesAnotherServiceForAKnownWorkerChangesNothing() {
+    WorkerHost host = hostWithOwner(1_000);
+    host.workerSeen(
+        new WorkerInfo("w1", "other", "10.0.0.1:1", "z", true, CAPACITY, List.of(), 9, 500_000),
+        1_010);
+    host.workerSeen(worker("w1", false, 2), 1_020);
+    order(host, 1_030, run(0, 1));
+    assertEquals(all(HostEffect.CallStart.class).size(), 1);
+  }
 }
--- a/daemon/src/main/java/io/hingehoist/host/HostNode.java
+++ b/daemon/src/main/java/io/hingehoist/host/HostNode.java
@@ -1,6 +1,7 @@
 package io.hingehoist.host;
 
 import io.hingehoist.adapter.Adapter;
+import io.hingehoist.adapter.IgnoredHeartbeat;
 import io.hingehoist.adapter.WorkerCalls;
 import io.hingehoist.adapter.WorkerRegistry;
 import io.hingehoist.directory.PeerDirectory;
@@ -33,13 +34,21 @@
 import io.hingehoist.settings.NodeSection;
 import io.hingehoist.wire.Addresses;
 import java.io.IOException;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
 
 /** A host: one event loop that owns the {@link WorkerHost} and carries all connections. */
 public final class HostNode implements WorkerRegistry, AutoCloseable {
   private static final int MAX_BODY_BYTES = 64 * 1024;
   private static final long TICK_MS = 50;
 
+  /** Lines on heartbeats that are ignored, so that no writer can fill the log. */
+  private static final int MAX_IGNORED_NOTED = 100;
+
   private final NodeSection node;
+  private final HostSection settings;
+  private final Metrics metrics;
   private final DecisionLog log;
   private final EventLoop loop;
   private final WorkerHost host;
@@ -48,6 +57,7 @@
   private final OwnerLinks owners;
   private final PeerServer peers;
   private final PlannedStop stop;
+  private final Set<String> ignoredNoted = new HashSet<>();
   private boolean settling;
 
   private HostNode(
@@ -59,6 +69,8 @@
       EventLoop loop)
       throws IOException {
     this.node = node;
+    this.settings = settings;
+    this.metrics = metrics;
     this.stop = PlannedStop.of(settings.stopTimeoutSeconds());
     this.log = log;
     this.loop = loop;
@@ -192,9 +204,31 @@
   // What workers, owners and control replicas say.
 
   @Override
-  public void workerSeen(WorkerInfo info) {
+  public Optional<IgnoredHeartbeat> workerSeen(WorkerInfo info) {
+    String own = settings.workerService();
+    if (!own.isEmpty() && !info.service().equals(own)) {
+      String detail =
+          "service: value %s is not allowed; allowed: %s".formatted(info.service(), own);
+      return Optional.of(
+          new IgnoredHeartbeat(info.workerId(), IgnoredHeartbeat.Problem.OTHER_SERVICE, detail));
+    }
     host.workerSeen(info, EventLoop.nowMs());
     settleLater();
+    return Optional.empty();
+  }
+
+  /** A writer that goes on is named once for each thing that is wrong, as far as there is place. */
+  @Override
+  public void heartbeatIgnored(IgnoredHeartbeat heartbeat) {
+    String problem = heartbeat.problem().name();
+    metrics.noteIgnoredHeartbeat(problem);
+    boolean isNew =
+        ignoredNoted.size() < MAX_IGNORED_NOTED
+            && ignoredNoted.add(heartbeat.writer() + ' ' + problem);
+    if (isNew) {
+      String outcome = "problem=" + problem + ' ' + heartbeat.detail();
+      log.write("heartbeatIgnored", heartbeat.writer(), outcome);
+    }
   }
 
   @Override
--- a/daemon/src/main/java/io/hingehoist/metrics/Metrics.java
+++ b/daemon/src/main/java/io/hingehoist/metrics/Metrics.java
@@ -57,6 +57,13 @@
           .help("Submissions refused before they ran, by cause.")
           .labelNames("cause")
           .register(registry);
+  private final Counter ignoredHeartbeats =
+      Counter.builder()
+          .name("hingehoist_heartbeats_ignored_total")
+          .withoutExemplars()
+          .help("Heartbeats that name no worker to use, by what is wrong with them.")
+          .labelNames("problem")
+          .register(registry);
   private final Histogram answerSeconds =
       Histogram.builder()
           .name("hingehoist_answer_seconds")
@@ -164,6 +171,11 @@
     refusals.labelValues(cause).inc();
   }
 
+  /** Counts a heartbeat that names no worker to use. */
+  public void noteIgnoredHeartbeat(String problem) {
+    ignoredHeartbeats.labelValues(problem).inc();
+  }
+
   /** Counts a synced write. */
   public void noteSync(int bytes, double seconds) {
     journalBytes.inc(bytes);
