--- a/core/src/main/java/io/hingehoist/run/AnswerTimes.java
+++ b/core/src/main/java/io/hingehoist/run/host/AnswerTimes.java
@@ -1,4 +1,4 @@
-package io.hingehoist.run;
+package io.hingehoist.run.host;
 
 /**
  * How long a call to a worker may take before it counts as lost, learned from the answers seen, and
--- a/core/src/main/java/io/hingehoist/run/FailureWatch.java
+++ b/core/src/main/java/io/hingehoist/run/host/FailureWatch.java
@@ -1,4 +1,4 @@
-package io.hingehoist.run;
+package io.hingehoist.run.host;
 
 /**
  * Says when a worker fails what it runs, while its health seems good: after some failures in a row
--- a/core/src/main/java/io/hingehoist/run/GrowingPause.java
+++ b/core/src/main/java/io/hingehoist/run/host/GrowingPause.java
@@ -1,4 +1,4 @@
-package io.hingehoist.run;
+package io.hingehoist.run.host;
 
 /** A pause that may be made longer for the next time, up to a bound. Not thread-safe. */
 final class GrowingPause {
--- a/core/src/main/java/io/hingehoist/run/HostEffect.java
+++ b/core/src/main/java/io/hingehoist/run/host/HostEffect.java
@@ -1,7 +1,8 @@
-package io.hingehoist.run;
+package io.hingehoist.run.host;
 
 import io.hingehoist.message.Message;
 import io.hingehoist.message.RunRef;
+import io.hingehoist.run.Decision;
 
 /** Something that a {@link WorkerHost} asks its surroundings to do, in order. */
 public sealed interface HostEffect {
--- a/core/src/main/java/io/hingehoist/run/LeaseClock.java
+++ b/core/src/main/java/io/hingehoist/run/host/LeaseClock.java
@@ -1,4 +1,4 @@
-package io.hingehoist.run;
+package io.hingehoist.run.host;
 
 /**
  * Counts the lease of a peer from the moment at which the peer sent its last beat, by the peer's
--- a/core/src/main/java/io/hingehoist/run/OwnerSessions.java
+++ b/core/src/main/java/io/hingehoist/run/host/OwnerSessions.java
@@ -1,4 +1,4 @@
-package io.hingehoist.run;
+package io.hingehoist.run.host;
 
 import java.util.Collection;
 import java.util.HashMap;
--- a/core/src/main/java/io/hingehoist/run/ProgressWatch.java
+++ b/core/src/main/java/io/hingehoist/run/host/ProgressWatch.java
@@ -1,6 +1,7 @@
-package io.hingehoist.run;
+package io.hingehoist.run.host;
 
 import io.hingehoist.message.RunRef;
+import io.hingehoist.run.TaskNames;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
--- a/core/src/main/java/io/hingehoist/run/RoomOffers.java
+++ b/core/src/main/java/io/hingehoist/run/host/RoomOffers.java
@@ -1,6 +1,7 @@
-package io.hingehoist.run;
+package io.hingehoist.run.host;
 
 import io.hingehoist.message.Room;
+import io.hingehoist.run.Rooms;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/core/src/main/java/io/hingehoist/run/ShownRows.java
+++ b/core/src/main/java/io/hingehoist/run/host/ShownRows.java
@@ -1,4 +1,4 @@
-package io.hingehoist.run;
+package io.hingehoist.run.host;
 
 import io.hingehoist.message.WorkerRow;
 import java.util.List;
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/run/host/StartGate.java
@@ -0,0 +1,61 @@
+package io.hingehoist.run.host;
+
+import io.hingehoist.message.EvacuatedZones;
+import io.hingehoist.run.ZoneKnowledge;
+
+/**
+ * Whether a host may start anything at all: not while it stops, and not in an availability zone
+ * that is evacuated or not known not to be. Owned by {@link WorkerHost}.
+ */
+final class StartGate {
+  private final String zone;
+  private final ZoneKnowledge zones = ZoneKnowledge.create();
+  private boolean zoneIsOpen;
+  private boolean stopping;
+  private long refusedForZone;
+
+  StartGate(String zone) {
+    this.zone = zone;
+  }
+
+  String zone() {
+    return zone;
+  }
+
+  ZoneKnowledge zones() {
+    return zones;
+  }
+
+  /** Takes word of the evacuated zones; returns whether it is news. */
+  boolean learn(EvacuatedZones heard, long nowMs) {
+    boolean news = zones.learn(heard, nowMs);
+    if (news) {
+      zoneIsOpen = zones.allowsStartsIn(zone);
+    }
+    return news;
+  }
+
+  boolean isZoneOpen() {
+    return zoneIsOpen;
+  }
+
+  boolean isStopping() {
+    return stopping;
+  }
+
+  void stopTaking() {
+    stopping = true;
+  }
+
+  boolean takesNothing() {
+    return stopping || !zoneIsOpen;
+  }
+
+  void noteRefusedForZone() {
+    refusedForZone++;
+  }
+
+  long refusedForZoneCount() {
+    return refusedForZone;
+  }
+}
--- a/core/src/main/java/io/hingehoist/run/WorkerInfo.java
+++ b/core/src/main/java/io/hingehoist/run/host/WorkerInfo.java
@@ -1,4 +1,4 @@
-package io.hingehoist.run;
+package io.hingehoist.run.host;
 
 import io.hingehoist.message.Room;
 import java.util.List;
@@ -26,4 +26,10 @@
   public WorkerInfo {
     labels = List.copyOf(labels);
   }
+
+  /** Returns this account as that of a worker that is leaving. */
+  WorkerInfo asDraining() {
+    return new WorkerInfo(
+        workerId, service, address, zone, true, capacity, labels, version, clockMs);
+  }
 }
--- a/core/src/main/java/io/hingehoist/run/WorkerLife.java
+++ b/core/src/main/java/io/hingehoist/run/host/WorkerLife.java
@@ -1,9 +1,11 @@
-package io.hingehoist.run;
+package io.hingehoist.run.host;
 
 import io.hingehoist.message.Room;
 import io.hingehoist.message.RunRef;
 import io.hingehoist.message.WorkerRow;
 import io.hingehoist.message.WorkerState;
+import io.hingehoist.run.Rooms;
+import io.hingehoist.run.RunTiming;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -70,17 +72,7 @@
     boolean changed = newer.draining() != info.draining();
     // A worker that is leaving does not come back under the same name.
     boolean draining = newer.draining() || info.draining();
-    info =
-        new WorkerInfo(
-            newer.workerId(),
-            newer.service(),
-            newer.address(),
-            newer.zone(),
-            draining,
-            newer.capacity(),
-            newer.labels(),
-            newer.version(),
-            newer.clockMs());
+    info = draining ? newer.asDraining() : newer;
     return changed;
   }
 
@@ -139,6 +131,11 @@
     return Optional.ofNullable(runs.get(run));
   }
 
+  /** Returns whether a run of a task is here, whatever its number. */
+  boolean hasTask(String task) {
+    return runs.keySet().stream().anyMatch(run -> run.task().equals(task));
+  }
+
   void remove(HostedRun run) {
     progress.forget(run);
     if (runs.remove(run.run) != null) {
--- a/core/src/main/java/io/hingehoist/run/FollowedHosts.java
+++ b/core/src/main/java/io/hingehoist/run/owner/FollowedHosts.java
@@ -1,4 +1,4 @@
-package io.hingehoist.run;
+package io.hingehoist.run.owner;
 
 import java.util.ArrayList;
 import java.util.Comparator;
--- a/core/src/main/java/io/hingehoist/run/HostView.java
+++ b/core/src/main/java/io/hingehoist/run/owner/HostView.java
@@ -1,4 +1,4 @@
-package io.hingehoist.run;
+package io.hingehoist.run.owner;
 
 import io.hingehoist.message.HostRows;
 import io.hingehoist.message.WorkerRow;
--- /dev/null
+++ b/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
@@ -0,0 +1,368 @@
+package io.hingehoist.run.owner;
+
+import io.hingehoist.message.HostRows;
+import io.hingehoist.message.RunEnd;
+import io.hingehoist.message.RunEnded;
+import io.hingehoist.message.RunNotStarted;
+import io.hingehoist.message.RunRef;
+import io.hingehoist.message.RunRefusal;
+import io.hingehoist.message.StopRun;
+import io.hingehoist.run.JobEnd;
+import io.hingehoist.run.JobPlan;
+import io.hingehoist.run.RunTiming;
+import io.hingehoist.run.load.Door;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The decisions of an owner: which run of which task is ordered at which worker, when a lost one
+ * may be started again, and when a job is answered.
+ *
+ * <p>Call a method for each event, then {@link #place}, then carry out {@link #takeEffects} in
+ * order. A task has at most one run that is not provably over. Times are milliseconds of a clock
+ * that never goes back. Not thread-safe: one thread owns it.
+ */
+public final class JobOwner {
+  /** After a refused number, the number goes up by this much: another owner used those below. */
+  private static final long NUMBER_STEP = 16;
+
+  /** Failures on workers that fail everything end a job as well, so that it ends at all. */
+  private static final int MAX_UNCLEAR_FAILURES = 3;
+
+  private static final long AVOID_MS = 1_000;
+
+  private final RunTiming timing;
+  private final SpeedTable speeds = new SpeedTable();
+  private final WorkerChoice choice = new WorkerChoice(speeds);
+  private final HostViews hosts;
+  private final RunPlacement placement;
+  private final RunWatch watch;
+  private final Map<String, OwnedJob> jobs = new LinkedHashMap<>();
+  private final Map<String, OwnedTask> active = new HashMap<>();
+  private final OwnerOutbox outbox = new OwnerOutbox();
+  private long jobNumber;
+  private long readyAtMs;
+
+  private JobOwner(RunTiming timing, FollowedHosts followed) {
+    this.timing = timing;
+    this.hosts = new HostViews(followed);
+    this.placement = new RunPlacement(hosts, choice, outbox, task -> active.put(task.name(), task));
+    this.watch = new RunWatch(hosts, speeds, choice, placement::newPass);
+  }
+
+  /** Creates an owner of no jobs that follows every host closely. */
+  public static JobOwner create(RunTiming timing) {
+    return create(timing, "", "", Integer.MAX_VALUE);
+  }
+
+  /**
+   * Creates an owner of no jobs.
+   *
+   * @param followedHosts the number of hosts that get work first, those of its zone before others
+   */
+  public static JobOwner create(RunTiming timing, String ownerId, String zone, int followedHosts) {
+    return new JobOwner(timing, new FollowedHosts(ownerId, zone, followedHosts));
+  }
+
+  /** Returns what is to be done since the last call, in order. */
+  public List<OwnerEffect> takeEffects() {
+    return outbox.take();
+  }
+
+  // Callers.
+
+  /** Takes a job. Returns whether it is new; one that is here already goes on as it is. */
+  public boolean submit(JobPlan plan, long nowMs) {
+    if (jobs.containsKey(plan.jobId())) {
+      return false;
+    }
+    OwnedJob job = new OwnedJob(plan, nowMs, ++jobNumber);
+    jobs.put(plan.jobId(), job);
+    placement.addAll(job.takeFreed());
+    outbox.note("jobTaken", plan.jobId(), "", plan.queue(), "priority=" + plan.priority());
+    return true;
+  }
+
+  /** Drops a job whose caller is gone, and stops its runs. */
+  public void abandon(String jobId, String reason) {
+    OwnedJob job = jobs.get(jobId);
+    if (job != null) {
+      end(job, new JobEnd.Dropped(reason));
+    }
+  }
+
+  /** Ends a job on its caller's word. Returns whether there was one. */
+  public boolean cancel(String jobId) {
+    OwnedJob job = jobs.get(jobId);
+    if (job == null) {
+      return false;
+    }
+    end(job, new JobEnd.Cancelled());
+    return true;
+  }
+
+  /**
+   * Drops every job: this owner stood still for so long that its hosts have stopped its runs, and
+   * its callers may have gone to another owner.
+   */
+  public void dropAll(String reason) {
+    for (OwnedJob job : List.copyOf(jobs.values())) {
+      end(job, new JobEnd.Dropped(reason));
+    }
+  }
+
+  /** Returns the number of jobs of a queue none of whose tasks was started. */
+  public long pendingCount(String queueName) {
+    return jobs.values().stream()
+        .filter(job -> !job.mayHaveStarted() && job.plan().queue().equals(queueName))
+        .count();
+  }
+
+  /** Returns the number of jobs that are not answered. */
+  public int jobCount() {
+    return jobs.size();
+  }
+
+  /** Returns the number of tasks that wait for room. */
+  public int queuedCount() {
+    return placement.waitingCount();
+  }
+
+  /** Returns the number of runs that are ordered and not known to be over. */
+  public int activeCount() {
+    return active.size();
+  }
+
+  /** Returns whether a worker is known that takes runs. */
+  public boolean hasReadyWorker(long nowMs) {
+    return hosts.hasReadyWorker(nowMs);
+  }
+
+  // Hosts.
+
+  /**
+   * Notes an open session.
+   *
+   * @param formerRunsOver whether no run is going on that was ordered at the host before it
+   */
+  public void sessionOpened(String hostId, String zone, long incarnation, boolean formerRunsOver) {
+    if (hosts.add(hostId, zone)) {
+      outbox.note("hostFound", "", "", hostId, "incarnation=" + incarnation);
+      placement.tellWaitingTo(hostId);
+    }
+    if (!formerRunsOver) {
+      return;
+    }
+    for (OwnedTask task : List.copyOf(active.values())) {
+      if (task.hostId().equals(hostId) && task.isUncertain()) {
+        requeue(task, "formerRunsOver");
+      }
+    }
+  }
+
+  /**
+   * Notes that a session has no connection on which its host is heard: the host gets nothing new
+   * until it has one, as an order would wait for it. What was ordered there goes on.
+   */
+  public void sessionSuspended(String hostId) {
+    hosts.suspend(hostId);
+  }
+
+  /** Notes that a session has a connection again on which its host is heard. */
+  public void sessionResumed(String hostId) {
+    if (hosts.resume(hostId)) {
+      placement.tellWaitingTo(hostId);
+    }
+  }
+
+  /**
+   * Notes that a session is over and won't go on.
+   *
+   * @param silent whether its host may still hold the lease of this owner
+   * @param leaseSinceMs when that lease may last have been renewed, or when the host is known not
+   *     to have had one any more
+   */
+  public void sessionLost(String hostId, boolean silent, long leaseSinceMs) {
+    if (!hosts.remove(hostId)) {
+      return;
+    }
+    long overAfterMs = silent ? timing.overAfterSilenceMs() : timing.overAfterBreakMs();
+    int uncertain = 0;
+    for (OwnedTask task : active.values()) {
+      if (task.hostId().equals(hostId) && task.isOrdered()) {
+        task.noteUncertain(leaseSinceMs + overAfterMs);
+        uncertain++;
+      }
+    }
+    String outcome =
+        "silent=%s runsUncertain=%d runsOverAfterMs=%d".formatted(silent, uncertain, overAfterMs);
+    outbox.note("hostLost", "", "", hostId, outcome);
+  }
+
+  /** Returns whether a host is to show each change at once, and not only with each heartbeat. */
+  public boolean follows(String hostId) {
+    return hosts.follows(hostId);
+  }
+
+  /** Takes what a host shows of its workers. */
+  public void hostRows(String hostId, HostRows rows, long nowMs) {
+    hosts
+        .find(hostId)
+        .ifPresent(
+            host -> {
+              host.noteHeard(nowMs);
+              host.update(rows);
+            });
+  }
+
+  /** Takes a host's word that a run did not start. */
+  public void runNotStarted(String hostId, RunNotStarted report, long nowMs) {
+    OwnedTask task = find(hostId, report.run());
+    if (task == null) {
+      return;
+    }
+    task.job().noteNotStarted();
+    view(task).ifPresent(WorkerView::noteOver);
+    switch (report.reason()) {
+      case ROOM, NOT_READY, ZONE_EVACUATED -> {}
+      case OLD_NUMBER -> task.skipRunNumbers(NUMBER_STEP);
+      case INVALID -> {
+        if (task.noteFailure() >= task.job().plan().attempts()) {
+          active.remove(task.name());
+          end(task.job(), new JobEnd.Failed("refused by workers"));
+          return;
+        }
+      }
+      case UNHEALTHY -> view(task).ifPresent(worker -> worker.avoidUntil(nowMs + AVOID_MS));
+    }
+    requeue(task, report.reason() == RunRefusal.ROOM ? "" : report.reason().name());
+  }
+
+  private Optional<WorkerView> view(OwnedTask task) {
+    return hosts.workerOf(task);
+  }
+
+  /** Takes a host's word that a run is over. */
+  public void runEnded(String hostId, RunEnded report, long nowMs) {
+    OwnedTask task = find(hostId, report.run());
+    if (task == null) {
+      return;
+    }
+    view(task).ifPresent(worker -> worker.noteEnd(task.plan().need()));
+    switch (report.end()) {
+      case DONE -> done(task, report.ranMs(), nowMs);
+      case FAILED -> failed(task);
+      case STOPPED, LAPSED, BROKEN, ALONE, LOST -> requeue(task, report.end().name());
+    }
+  }
+
+  private OwnedTask find(String hostId, RunRef run) {
+    OwnedTask task = active.get(run.task());
+    return task != null && task.isRun(hostId, run) ? task : null;
+  }
+
+  private void done(OwnedTask task, long ranMs, long nowMs) {
+    active.remove(task.name());
+    task.noteDone();
+    speeds.noteRun(task.workerId(), ranMs, task.plan().estimateMs(), nowMs);
+    OwnedJob job = task.job();
+    job.noteDone(task);
+    if (job.isComplete()) {
+      end(job, new JobEnd.Completed());
+    } else {
+      placement.addAll(job.takeFreed());
+    }
+  }
+
+  private void failed(OwnedTask task) {
+    task.avoidItsWorker();
+    if (hasFailedForGood(task)) {
+      active.remove(task.name());
+      end(task.job(), new JobEnd.Failed("task " + task.name() + " failed"));
+    } else {
+      requeue(task, RunEnd.FAILED.name());
+    }
+  }
+
+  /** Counts a failure; one on a worker that fails everything says little of the task. */
+  private boolean hasFailedForGood(OwnedTask task) {
+    int attempts = task.job().plan().attempts();
+    boolean unclear = view(task).map(WorkerView::isFailing).orElse(false);
+    return unclear
+        ? task.noteUnclearFailure() >= attempts + MAX_UNCLEAR_FAILURES
+        : task.noteFailure() >= attempts;
+  }
+
+  private void requeue(OwnedTask task, String reason) {
+    active.remove(task.name());
+    task.noteQueued();
+    placement.add(task);
+    if (!reason.isEmpty()) {
+      outbox.note(
+          "runAgain", task.job().plan().jobId(), task.name(), task.workerId(), "reason=" + reason);
+    }
+  }
+
+  private void end(OwnedJob job, JobEnd end) {
+    jobs.remove(job.plan().jobId());
+    for (OwnedTask task : job.tasks()) {
+      placement.remove(task);
+      if (active.remove(task.name()) != null && task.isOrdered()) {
+        stop(task);
+      }
+    }
+    outbox.add(new OwnerEffect.Answer(job.plan().jobId(), end));
+  }
+
+  private void stop(OwnedTask task) {
+    if (!task.isStopSent() && hosts.contains(task.hostId())) {
+      task.noteStopSent();
+      outbox.send(task.hostId(), new StopRun(task.run()));
+    }
+  }
+
+  // Time.
+
+  /** Does what the time has made due. */
+  public void onTick(long nowMs) {
+    if (readyAtMs == 0 || hasReadyWorker(nowMs)) {
+      readyAtMs = nowMs;
+    }
+    for (OwnedTask task : List.copyOf(active.values())) {
+      if (task.isProvablyOver(nowMs)) {
+        requeue(task, "provablyOver");
+      } else if (task.isOrdered() && watch.isToBeMoved(task, nowMs)) {
+        move(task);
+      }
+    }
+    for (OwnedJob job : List.copyOf(jobs.values())) {
+      refuseIfHopeless(job, nowMs);
+    }
+    placement.putLateBehind(task -> speeds.expectedMs(task.plan().estimateMs()), nowMs);
+  }
+
+  /** A job that was not started and can't be worth anything is refused at once, not at its end. */
+  private void refuseIfHopeless(OwnedJob job, long nowMs) {
+    if (job.mayHaveStarted()) {
+      return;
+    }
+    long worthlessAfterMs = job.plan().worthlessAfterMs();
+    Door.refusalOfUnbegun(job.waitedMs(nowMs), worthlessAfterMs, nowMs - readyAtMs)
+        .ifPresent(no -> end(job, new JobEnd.Refused(no.reason(), no.retryAfterMs())));
+  }
+
+  private void move(OwnedTask task) {
+    String outcome = "ranMs=" + watch.knownRunMs(task);
+    outbox.note("runMoved", task.job().plan().jobId(), task.name(), task.workerId(), outcome);
+    task.avoidItsWorker();
+    stop(task);
+  }
+
+  /** Orders runs for the tasks that wait, best priority first, as far as there is room. */
+  public void place(long nowMs) {
+    placement.place(nowMs);
+  }
+}
--- a/core/src/main/java/io/hingehoist/run/OrderBatch.java
+++ b/core/src/main/java/io/hingehoist/run/owner/OrderBatch.java
@@ -1,7 +1,9 @@
-package io.hingehoist.run;
+package io.hingehoist.run.owner;
 
 import io.hingehoist.message.RunRef;
 import io.hingehoist.message.StartRuns;
+import io.hingehoist.run.JobPlan;
+import io.hingehoist.run.StepPlan;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -25,7 +27,7 @@
 
     @Override
     public int hashCode() {
-      return 31 * (31 * workerId.hashCode() + Long.hashCode(job.number)) + step;
+      return 31 * (31 * workerId.hashCode() + Long.hashCode(job.number())) + step;
     }
   }
 
@@ -46,7 +48,7 @@
    * Adds a task that was given to a worker, and returns the number of the order that carries it.
    */
   long add(OwnedTask task, HostView host) {
-    Key key = new Key(task.workerId, task.job, task.step);
+    Key key = new Key(task.workerId(), task.job(), task.step());
     Group group = groups.computeIfAbsent(key, k -> new Group(host, host.nextOrder()));
     group.runs.add(task.run());
     return group.order;
@@ -57,7 +59,7 @@
   }
 
   private static StartRuns toOrder(Key key, Group group) {
-    JobPlan job = key.job().plan;
+    JobPlan job = key.job().plan();
     StepPlan step = job.steps().get(key.step());
     return new StartRuns(
         group.order,
--- a/core/src/main/java/io/hingehoist/run/OwnedJob.java
+++ b/core/src/main/java/io/hingehoist/run/owner/OwnedJob.java
@@ -1,18 +1,19 @@
-package io.hingehoist.run;
+package io.hingehoist.run.owner;
 
+import io.hingehoist.run.JobPlan;
 import java.util.ArrayList;
 import java.util.List;
 
 /** One job, as its owner sees it. Owned by {@link JobOwner}. */
 final class OwnedJob {
-  final JobPlan plan;
-  final long takenAtMs;
-  final long number;
-  final List<List<OwnedTask>> steps = new ArrayList<>();
+  private final JobPlan plan;
+  private final long takenAtMs;
+  private final long number;
+  private final List<List<OwnedTask>> steps = new ArrayList<>();
   private final int[] openTasks;
 
   /** Orders that were not refused: each may have started a task. */
-  int possibleStarts;
+  private int possibleStarts;
 
   OwnedJob(JobPlan plan, long takenAtMs, long number) {
     this.plan = plan;
@@ -29,12 +30,48 @@
     }
   }
 
+  JobPlan plan() {
+    return plan;
+  }
+
+  /** Returns a number that rises with each job that an owner takes. */
+  long number() {
+    return number;
+  }
+
+  List<OwnedTask> tasksOf(int step) {
+    return List.copyOf(steps.get(step));
+  }
+
+  List<OwnedTask> tasks() {
+    return steps.stream().flatMap(List::stream).toList();
+  }
+
+  /** Returns the time since its owner took it. */
+  long waitedMs(long nowMs) {
+    return nowMs - takenAtMs;
+  }
+
+  /** Returns the end of the time in which the caller hopes for the answer. */
+  long objectiveAtMs() {
+    return takenAtMs + plan.objectiveMs();
+  }
+
   boolean mayHaveStarted() {
     return possibleStarts > 0;
   }
 
+  void noteOrdered() {
+    possibleStarts++;
+  }
+
+  /** Notes that the host said of an order that nothing was started. */
+  void noteNotStarted() {
+    possibleStarts--;
+  }
+
   void noteDone(OwnedTask task) {
-    openTasks[task.step]--;
+    openTasks[task.step()]--;
   }
 
   boolean isComplete() {
@@ -52,8 +89,8 @@
     for (int step = 0; step < steps.size(); step++) {
       if (isFree(step)) {
         for (OwnedTask task : steps.get(step)) {
-          if (task.state == OwnedTask.State.BLOCKED) {
-            task.state = OwnedTask.State.QUEUED;
+          if (task.isBlocked()) {
+            task.noteQueued();
             freed.add(task);
           }
         }
@@ -73,7 +110,7 @@
 
   long countOn(String workerId, int step) {
     return steps.get(step).stream()
-        .filter(task -> task.mayBeRunning() && task.workerId.equals(workerId))
+        .filter(task -> task.mayBeRunning() && task.workerId().equals(workerId))
         .count();
   }
 }
--- a/core/src/main/java/io/hingehoist/run/OwnerEffect.java
+++ b/core/src/main/java/io/hingehoist/run/owner/OwnerEffect.java
@@ -1,6 +1,8 @@
-package io.hingehoist.run;
+package io.hingehoist.run.owner;
 
 import io.hingehoist.message.Message;
+import io.hingehoist.run.Decision;
+import io.hingehoist.run.JobEnd;
 
 /** Something that a {@link JobOwner} asks its surroundings to do, in order. */
 public sealed interface OwnerEffect {
--- a/core/src/main/java/io/hingehoist/run/PlacementPass.java
+++ b/core/src/main/java/io/hingehoist/run/owner/PlacementPass.java
@@ -1,6 +1,8 @@
-package io.hingehoist.run;
+package io.hingehoist.run.owner;
 
 import io.hingehoist.message.Room;
+import io.hingehoist.run.Rooms;
+import io.hingehoist.run.StepPlan;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -19,7 +21,7 @@
   private record Miss(String service, String requires, Room need) {
     private boolean covers(OwnedTask task) {
       StepPlan step = task.plan();
-      return service.equals(task.job.plan.service())
+      return service.equals(task.job().plan().service())
           && (requires.isEmpty() || requires.equals(step.requires()))
           && Rooms.fits(need, step.need());
     }
@@ -89,7 +91,7 @@
   private boolean isGoodBeside(WorkerView worker, OwnedTask task) {
     return lastPlaced.filter(task::isOfStepOf).isPresent()
         && task.plan().near().isEmpty()
-        && !worker.row().workerId().equals(task.avoidedWorkerId)
+        && !worker.row().workerId().equals(task.avoidedWorkerId())
         && worker.shareLeft(task.plan().need()) >= TOGETHER_SPARE_SHARE
         && choice.isFit(worker, task, leavesOut(task), nowMs);
   }
@@ -113,7 +115,7 @@
   /** Returns whether unwell workers get none of a task's kind, as most others are well. */
   boolean leavesOut(OwnedTask task) {
     return leavesOutByService.computeIfAbsent(
-        task.job.plan.service(), service -> choice.mayLeaveOut(service, all, nowMs));
+        task.job().plan().service(), service -> choice.mayLeaveOut(service, all, nowMs));
   }
 
   /**
@@ -123,7 +125,7 @@
   private void noteMiss(OwnedTask task) {
     StepPlan step = task.plan();
     if (step.mostPerWorker() == 0 && !choice.waitsForFaster(task, all, leavesOut(task), nowMs)) {
-      misses.add(new Miss(task.job.plan.service(), step.requires(), step.need()));
+      misses.add(new Miss(task.job().plan().service(), step.requires(), step.need()));
     }
   }
 }
--- a/core/src/main/java/io/hingehoist/run/SpeedTable.java
+++ b/core/src/main/java/io/hingehoist/run/owner/SpeedTable.java
@@ -1,4 +1,4 @@
-package io.hingehoist.run;
+package io.hingehoist.run.owner;
 
 import java.util.HashMap;
 import java.util.Map;
--- a/core/src/main/java/io/hingehoist/run/WaitingReport.java
+++ b/core/src/main/java/io/hingehoist/run/owner/WaitingReport.java
@@ -1,4 +1,4 @@
-package io.hingehoist.run;
+package io.hingehoist.run.owner;
 
 import io.hingehoist.message.OwnerWaiting;
 import io.hingehoist.message.WaitingRow;
--- a/core/src/main/java/io/hingehoist/run/WaitingTasks.java
+++ b/core/src/main/java/io/hingehoist/run/owner/WaitingTasks.java
@@ -1,6 +1,8 @@
-package io.hingehoist.run;
+package io.hingehoist.run.owner;
 
 import io.hingehoist.message.WaitingRow;
+import io.hingehoist.run.load.Lateness;
+import io.hingehoist.run.load.WaitingOrder;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -21,27 +23,8 @@
   /** Added to the priority of what can't be in time: any that can goes before it. */
   private static final int LATE_RANK = 1_000;
 
-  /** Of the expected time, what a task of a begun job must have left: estimates are rough. */
-  private static final double LATE_MARGIN = 0.7;
-
-  /**
-   * The same for a job that is not begun: one that would just miss its time takes room from others.
-   * Played load, 0.7 to 1.0, earned at 0.98, 1.05, 1.18 and 1.45 of the room: 0.956 to 0.960, 0.898
-   * to 0.907, 0.794 to 0.819, 0.669 to 0.717; at 1.3 the first falls to 0.945.
-   */
-  private static final double UNBEGUN_LATE_MARGIN = 1.0;
-
-  private final TreeSet<OwnedTask> inTime = new TreeSet<>(WaitingTasks::inOrder);
-  private final TreeSet<OwnedTask> late = new TreeSet<>(WaitingTasks::inOrder);
-
-  private static int inOrder(OwnedTask a, OwnedTask b) {
-    int byPriority = Integer.compare(a.job.plan.priority(), b.job.plan.priority());
-    if (byPriority != 0) {
-      return byPriority;
-    }
-    int byArrival = Long.compare(a.job.number, b.job.number);
-    return byArrival != 0 ? byArrival : a.name.compareTo(b.name);
-  }
+  private final TreeSet<OwnedTask> inTime = new TreeSet<>(WaitingOrder::compare);
+  private final TreeSet<OwnedTask> late = new TreeSet<>(WaitingOrder::compare);
 
   void add(OwnedTask task) {
     inTime.add(task);
@@ -94,11 +77,11 @@
       if (++seen > MAX_COUNTED) {
         return;
       }
-      int rank = task.job.plan.priority() + rankAdded;
-      First first = byService.get(task.job.plan.service());
+      int rank = task.job().plan().priority() + rankAdded;
+      First first = byService.get(task.job().plan().service());
       if (first == null) {
-        first = new First(rank, nowMs - task.job.takenAtMs);
-        byService.put(task.job.plan.service(), first);
+        first = new First(rank, task.job().waitedMs(nowMs));
+        byService.put(task.job().plan().service(), first);
       }
       if (first.rank == rank) {
         first.taskCount++;
@@ -113,9 +96,9 @@
    */
   void putLateBehind(ToDoubleFunction<OwnedTask> expectedMs, long nowMs) {
     for (OwnedTask task : List.copyOf(inTime)) {
-      double margin = task.job.mayHaveStarted() ? LATE_MARGIN : UNBEGUN_LATE_MARGIN;
-      double earliestEndMs = nowMs + margin * expectedMs.applyAsDouble(task);
-      if (earliestEndMs > task.job.takenAtMs + task.job.plan.objectiveMs()) {
+      OwnedJob job = task.job();
+      double runMs = expectedMs.applyAsDouble(task);
+      if (Lateness.isLate(job.mayHaveStarted(), runMs, job.objectiveAtMs(), nowMs)) {
         inTime.remove(task);
         late.add(task);
       }
--- a/core/src/main/java/io/hingehoist/run/WorkerChoice.java
+++ b/core/src/main/java/io/hingehoist/run/owner/WorkerChoice.java
@@ -1,5 +1,7 @@
-package io.hingehoist.run;
+package io.hingehoist.run.owner;
 
+import io.hingehoist.run.Rooms;
+import io.hingehoist.run.StepPlan;
 import java.util.Collection;
 import java.util.Optional;
 
@@ -99,7 +101,7 @@
   private boolean hasPlace(WorkerView worker, OwnedTask task, boolean leavesOut, long nowMs) {
     StepPlan step = task.plan();
     boolean takes = worker.takesRuns(nowMs) || (!leavesOut && worker.isUnwell());
-    if (!takes || !worker.row().service().equals(task.job.plan.service())) {
+    if (!takes || !worker.row().service().equals(task.job().plan().service())) {
       return false;
     }
     if (!Rooms.fits(step.need(), worker.free())) {
@@ -109,7 +111,7 @@
       return false;
     }
     if (step.mostPerWorker() > 0
-        && task.job.countOn(worker.row().workerId(), task.step) >= step.mostPerWorker()) {
+        && task.job().countOn(worker.row().workerId(), task.step()) >= step.mostPerWorker()) {
       return false;
     }
     return !leavesOut || !(isSlow(worker, nowMs) || isBusyOnTrial(worker, nowMs));
@@ -122,7 +124,7 @@
       return false;
     }
     double usualMs = speeds.expectedMs(task.plan().estimateMs());
-    double leftMs = task.job.takenAtMs + task.job.plan.objectiveMs() - nowMs;
+    double leftMs = task.job().objectiveAtMs() - nowMs;
     return usualMs <= leftMs && usualMs * slowness > leftMs;
   }
 
@@ -139,7 +141,7 @@
     if (!step.near().isEmpty() && !worker.row().labels().contains(step.near())) {
       score -= FAR_COST;
     }
-    if (worker.row().workerId().equals(task.avoidedWorkerId)) {
+    if (worker.row().workerId().equals(task.avoidedWorkerId())) {
       score -= 2;
     }
     return score;
--- a/core/src/main/java/io/hingehoist/run/WorkerView.java
+++ b/core/src/main/java/io/hingehoist/run/owner/WorkerView.java
@@ -1,8 +1,9 @@
-package io.hingehoist.run;
+package io.hingehoist.run.owner;
 
 import io.hingehoist.message.Room;
 import io.hingehoist.message.WorkerRow;
 import io.hingehoist.message.WorkerState;
+import io.hingehoist.run.Rooms;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/core/src/test/java/io/hingehoist/run/HoldAnswers.java
+++ b/core/src/test/java/io/hingehoist/run/host/HoldAnswers.java
@@ -1,4 +1,4 @@
-package io.hingehoist.run;
+package io.hingehoist.run.host;
 
 import io.hingehoist.message.RunRef;
 import java.util.List;
--- a/core/src/test/java/io/hingehoist/run/LeaseClockTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/LeaseClockTest.java
@@ -1,4 +1,4 @@
-package io.hingehoist.run;
+package io.hingehoist.run.host;
 
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
--- a/core/src/test/java/io/hingehoist/run/ProgressWatchTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/ProgressWatchTest.java
@@ -1,4 +1,4 @@
-package io.hingehoist.run;
+package io.hingehoist.run.host;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -7,7 +7,8 @@
 import io.hingehoist.message.Room;
 import io.hingehoist.message.RunRef;
 import io.hingehoist.message.StartRuns;
-import io.hingehoist.run.ProgressWatch.Pace;
+import io.hingehoist.run.TaskNames;
+import io.hingehoist.run.host.ProgressWatch.Pace;
 import java.util.List;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
--- a/core/src/test/java/io/hingehoist/run/RoomOffersTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/RoomOffersTest.java
@@ -1,4 +1,4 @@
-package io.hingehoist.run;
+package io.hingehoist.run.host;
 
 import static org.testng.Assert.assertEquals;
 
@@ -10,6 +10,7 @@
 import io.hingehoist.message.RunRef;
 import io.hingehoist.message.StartRuns;
 import io.hingehoist.message.WaitingRow;
+import io.hingehoist.run.RunTiming;
 import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.BeforeMethod;
--- a/core/src/test/java/io/hingehoist/run/WorkerHostTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/WorkerHostTest.java
@@ -1,4 +1,4 @@
-package io.hingehoist.run;
+package io.hingehoist.run.host;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -16,6 +16,8 @@
 import io.hingehoist.message.SessionOpened;
 import io.hingehoist.message.StartRuns;
 import io.hingehoist.message.WorkerState;
+import io.hingehoist.run.Rooms;
+import io.hingehoist.run.RunTiming;
 import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.Test;
--- a/core/src/test/java/io/hingehoist/run/JobOwnerTest.java
+++ b/core/src/test/java/io/hingehoist/run/owner/JobOwnerTest.java
@@ -1,4 +1,4 @@
-package io.hingehoist.run;
+package io.hingehoist.run.owner;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -17,6 +17,11 @@
 import io.hingehoist.message.WaitingRow;
 import io.hingehoist.message.WorkerRow;
 import io.hingehoist.message.WorkerState;
+import io.hingehoist.run.JobEnd;
+import io.hingehoist.run.JobPlan;
+import io.hingehoist.run.Rooms;
+import io.hingehoist.run.RunTiming;
+import io.hingehoist.run.StepPlan;
 import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.Test;
--- a/core/src/test/java/io/hingehoist/run/PlacementPassTest.java
+++ b/core/src/test/java/io/hingehoist/run/owner/PlacementPassTest.java
@@ -1,4 +1,4 @@
-package io.hingehoist.run;
+package io.hingehoist.run.owner;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -8,6 +8,8 @@
 import io.hingehoist.message.Room;
 import io.hingehoist.message.WorkerRow;
 import io.hingehoist.message.WorkerState;
+import io.hingehoist.run.JobPlan;
+import io.hingehoist.run.StepPlan;
 import java.util.AbstractCollection;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -52,6 +54,10 @@
     return host;
   }
 
+  private static WorkerView workerOf(HostView host) {
+    return host.workers().iterator().next();
+  }
+
   @BeforeMethod
   public void open() {
     HostView host = host("h", "r1", new Room(1_000, 1_000, 0));
@@ -61,7 +67,7 @@
 
   private static OwnedTask task(String jobId, StepPlan step) {
     JobPlan plan = new JobPlan(jobId, "q", "s", "spec", 0, 2, 100, 300, List.of(step));
-    return new OwnedJob(plan, 0, 1).steps.getFirst().getFirst();
+    return new OwnedJob(plan, 0, 1).tasksOf(0).getFirst();
   }
 
   private static StepPlan step(Room need, String requires, int mostPerWorker) {
@@ -94,10 +100,8 @@
   public void aMissOfATaskThatMayNotShareItsWorkerSaysNothingOfOtherTasks() {
     StepPlan alone = new StepPlan(2, SMALL, 100, List.of(), "", "", 1);
     JobPlan plan = new JobPlan("a", "q", "s", "spec", 0, 2, 100, 300, List.of(alone));
-    List<OwnedTask> tasks = new OwnedJob(plan, 0, 1).steps.getFirst();
-    OwnedTask first = tasks.getFirst();
-    first.state = OwnedTask.State.ORDERED;
-    first.workerId = "h-w";
+    List<OwnedTask> tasks = new OwnedJob(plan, 0, 1).tasksOf(0);
+    tasks.getFirst().noteOrdered(workerOf(host("h", "r1", SMALL)), 0);
     assertFalse(pass.choose(tasks.getLast()).isPresent());
     assertTrue(pass.choose(task("b", step(SMALL, "", 0))).isPresent());
   }
@@ -133,7 +137,7 @@
   private static List<OwnedTask> tasks(int count, Room need) {
     StepPlan step = new StepPlan(count, need, 100, List.of(), "", "", 0);
     JobPlan plan = new JobPlan("a", "q", "s", "spec", 0, 2, 100, 300, List.of(step));
-    return new OwnedJob(plan, 0, 1).steps.getFirst();
+    return new OwnedJob(plan, 0, 1).tasksOf(0);
   }
 
   /** Places tasks as an owner does, and returns where they went. */
@@ -167,9 +171,11 @@
 
   @Test
   public void aTaskDoesNotFollowOthersToTheWorkerThatItFailedOn() {
-    PlacementPass pass = passOver(host("h1", "r1", CAPACITY), host("h2", "r1", SMALL));
+    HostView failed = host("h1", "r1", CAPACITY);
+    PlacementPass pass = passOver(failed, host("h2", "r1", SMALL));
     List<OwnedTask> tasks = tasks(2, SMALL);
-    tasks.getLast().avoidedWorkerId = "h1-w";
+    tasks.getLast().noteOrdered(workerOf(failed), 0);
+    tasks.getLast().avoidItsWorker();
     assertEquals(placed(pass, tasks), List.of("h1", "h2"));
   }
 
@@ -187,7 +193,7 @@
   private static OwnedTask shortTask() {
     StepPlan step = new StepPlan(1, SMALL, 50, List.of(), "", "", 0);
     JobPlan plan = new JobPlan("a", "q", "s", "spec", 0, 2, 300, 900, List.of(step));
-    return new OwnedJob(plan, 0, 1).steps.getFirst().getFirst();
+    return new OwnedJob(plan, 0, 1).tasksOf(0).getFirst();
   }
 
   @Test
--- a/daemon/src/main/java/io/hingehoist/adapter/WorkerCalls.java
+++ b/daemon/src/main/java/io/hingehoist/adapter/WorkerCalls.java
@@ -1,8 +1,8 @@
 package io.hingehoist.adapter;
 
-import io.hingehoist.run.HoldAnswer;
-import io.hingehoist.run.HostEffect;
-import io.hingehoist.run.StartAnswer;
+import io.hingehoist.run.host.HoldAnswer;
+import io.hingehoist.run.host.HostEffect;
+import io.hingehoist.run.host.StartAnswer;
 import java.util.function.Consumer;
 
 /** Calls the workers on a box. Used on the event loop; each answer comes once, there. */
--- a/daemon/src/main/java/io/hingehoist/adapter/WorkerRegistry.java
+++ b/daemon/src/main/java/io/hingehoist/adapter/WorkerRegistry.java
@@ -1,6 +1,6 @@
 package io.hingehoist.adapter;
 
-import io.hingehoist.run.WorkerInfo;
+import io.hingehoist.run.host.WorkerInfo;
 import java.util.Optional;
 
 /** What a host offers to the workers on its box. Used on the event loop. */
--- a/daemon/src/main/java/io/hingehoist/host/HostNode.java
+++ b/daemon/src/main/java/io/hingehoist/host/HostNode.java
@@ -6,6 +6,7 @@
 import io.hingehoist.adapter.WorkerRegistry;
 import io.hingehoist.directory.PeerDirectory;
 import io.hingehoist.log.DecisionLog;
+import io.hingehoist.loop.NodeLoop;
 import io.hingehoist.message.Announce;
 import io.hingehoist.message.DocumentUpdate;
 import io.hingehoist.message.EvacuatedZones;
@@ -26,10 +27,12 @@
 import io.hingehoist.net.PlannedStop;
 import io.hingehoist.net.ZoneGauges;
 import io.hingehoist.quorum.ControlAddresses;
-import io.hingehoist.run.HostEffect;
 import io.hingehoist.run.RunTiming;
-import io.hingehoist.run.WorkerHost;
-import io.hingehoist.run.WorkerInfo;
+import io.hingehoist.run.host.HoldAnswer;
+import io.hingehoist.run.host.HostEffect;
+import io.hingehoist.run.host.StartAnswer;
+import io.hingehoist.run.host.WorkerHost;
+import io.hingehoist.run.host.WorkerInfo;
 import io.hingehoist.settings.HostSection;
 import io.hingehoist.settings.NodeSection;
 import io.hingehoist.wire.Addresses;
@@ -39,9 +42,8 @@
 import java.util.Set;
 
 /** A host: one event loop that owns the {@link WorkerHost} and carries all connections. */
-public final class HostNode implements WorkerRegistry, AutoCloseable {
+public final class HostNode implements WorkerRegistry, NodeLoop.Node, AutoCloseable {
   private static final int MAX_BODY_BYTES = 64 * 1024;
-  private static final long TICK_MS = 50;
 
   /** Lines on heartbeats that are ignored, so that no writer can fill the log. */
   private static final int MAX_IGNORED_NOTED = 100;
@@ -50,7 +52,7 @@
   private final HostSection settings;
   private final Metrics metrics;
   private final DecisionLog log;
-  private final EventLoop loop;
+  private final NodeLoop loop;
   private final WorkerHost host;
   private final WorkerCalls workers;
   private final ControlLinks controls;
@@ -58,7 +60,6 @@
   private final PeerServer peers;
   private final PlannedStop stop;
   private final Set<String> ignoredNoted = new HashSet<>();
-  private boolean settling;
 
   private HostNode(
       NodeSection node,
@@ -73,7 +74,7 @@
     this.metrics = metrics;
     this.stop = PlannedStop.of(settings.stopTimeoutSeconds());
     this.log = log;
-    this.loop = loop;
+    this.loop = NodeLoop.create(loop, stop, this);
     long incarnation = System.currentTimeMillis();
     RunTiming timing =
         RunTiming.of(
@@ -109,8 +110,7 @@
       EventLoop loop)
       throws IOException {
     HostNode host = new HostNode(node, settings, adapter, metrics, log, loop);
-    loop.execute(() -> host.controls.open(ControlAddresses.of(node)));
-    loop.every(host::onTick, TICK_MS);
+    host.loop.start(() -> host.controls.open(ControlAddresses.of(node)));
     metrics.addGauge("hingehoist_host_runs", "Runs that are not over.", host.host::runCount);
     metrics.addGauge("hingehoist_host_workers", "Workers.", host.host::workerCount);
     metrics.addGauge(
@@ -128,12 +128,11 @@
     loop.execute(() -> controls.open(ControlAddresses.of(newNode)));
   }
 
-  private void onTick() {
-    long now = EventLoop.nowMs();
-    controls.onTick(now);
-    owners.onTick(now);
-    host.onTick(now);
-    settle();
+  @Override
+  public void onTick(long nowMs) {
+    controls.onTick(nowMs);
+    owners.onTick(nowMs);
+    host.onTick(nowMs);
     if (stop.hasBegun() && host.isIdle()) {
       stop.settle();
     }
@@ -144,56 +143,32 @@
    * whether all ended. Called from another thread.
    */
   public boolean stop() {
-    loop.execute(
-        () -> {
-          stop.begin(EventLoop.nowMs());
-          host.stopTaking();
-          log.write("stopping", node.nodeId(), "runs=" + host.runCount());
-          settleLater();
-        });
-    boolean ended = stop.await();
+    boolean ended =
+        loop.stop(
+            nowMs -> {
+              host.stopTaking();
+              log.write("stopping", node.nodeId(), "runs=" + host.runCount());
+            });
     log.write("stopped", node.nodeId(), "allRunsEnded=" + ended);
     return ended;
   }
 
   // Effects.
 
-  private void settleLater() {
-    if (!settling) {
-      settling = true;
-      loop.execute(this::settle);
-    }
-  }
-
-  private void settle() {
-    settling = false;
-    host.showRows(EventLoop.nowMs());
+  @Override
+  public void settle(long nowMs) {
+    host.showRows(nowMs);
     host.takeEffects().forEach(this::carryOut);
   }
 
   private void carryOut(HostEffect effect) {
     switch (effect) {
       case HostEffect.CallStart call ->
-          workers.start(
-              call,
-              answer -> {
-                host.startAnswered(call.workerId(), call.run(), answer, EventLoop.nowMs());
-                settleLater();
-              });
+          workers.start(call, loop.settling(answer -> started(call, answer)));
       case HostEffect.CallStop call ->
-          workers.stop(
-              call,
-              answered -> {
-                host.stopAnswered(call.workerId(), call.run(), answered, EventLoop.nowMs());
-                settleLater();
-              });
+          workers.stop(call, loop.settling(answered -> stopped(call, answered)));
       case HostEffect.CallHold call ->
-          workers.hold(
-              call,
-              answer -> {
-                host.holdAnswered(call.workerId(), answer, EventLoop.nowMs());
-                settleLater();
-              });
+          workers.hold(call, loop.settling(answer -> listed(call, answer)));
       case HostEffect.ForgetAddress forget -> workers.forget(forget.address());
       case HostEffect.ToOwner to -> owners.send(to.sessionId(), to.message());
       case HostEffect.CloseSession session -> owners.close(session.sessionId());
@@ -201,6 +176,18 @@
     }
   }
 
+  private void started(HostEffect.CallStart call, StartAnswer answer) {
+    host.startAnswered(call.workerId(), call.run(), answer, EventLoop.nowMs());
+  }
+
+  private void stopped(HostEffect.CallStop call, boolean answered) {
+    host.stopAnswered(call.workerId(), call.run(), answered, EventLoop.nowMs());
+  }
+
+  private void listed(HostEffect.CallHold call, HoldAnswer answer) {
+    host.holdAnswered(call.workerId(), answer, EventLoop.nowMs());
+  }
+
   // What workers, owners and control replicas say.
 
   @Override
@@ -213,7 +200,7 @@
           new IgnoredHeartbeat(info.workerId(), IgnoredHeartbeat.Problem.OTHER_SERVICE, detail));
     }
     host.workerSeen(info, EventLoop.nowMs());
-    settleLater();
+    loop.settleLater();
     return Optional.empty();
   }
 
@@ -234,14 +221,14 @@
   @Override
   public void workerLeaves(String workerId) {
     host.workerLeaves(workerId);
-    settleLater();
+    loop.settleLater();
   }
 
   /** An owner that reaches no control replica hears of a change from hosts that do. */
   private void learnZones(EvacuatedZones zones, String source) {
     if (host.zonesLearned(zones, source, EventLoop.nowMs())) {
       owners.sendToAll(zones);
-      settleLater();
+      loop.settleLater();
     }
   }
 
@@ -249,7 +236,7 @@
     @Override
     public void onBegan(long sessionId, String ownerId) {
       host.sessionBegan(sessionId, ownerId, EventLoop.nowMs());
-      settleLater();
+      loop.settleLater();
     }
 
     @Override
@@ -263,13 +250,13 @@
         case EvacuatedZones zones -> learnZones(zones, "session=" + sessionId);
         default -> owners.close(sessionId);
       }
-      settleLater();
+      loop.settleLater();
     }
 
     @Override
     public void onResumed(long sessionId) {
       host.sessionResumed(sessionId, EventLoop.nowMs());
-      settleLater();
+      loop.settleLater();
     }
 
     @Override
@@ -285,7 +272,7 @@
     @Override
     public void onEnded(long sessionId, String reason) {
       host.sessionEnded(sessionId, reason, EventLoop.nowMs());
-      settleLater();
+      loop.settleLater();
     }
   }
 
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -4,6 +4,7 @@
 import io.hingehoist.adapter.JobIntake;
 import io.hingehoist.directory.PeerDirectory;
 import io.hingehoist.log.DecisionLog;
+import io.hingehoist.loop.NodeLoop;
 import io.hingehoist.message.DocumentUpdate;
 import io.hingehoist.message.EvacuatedZones;
 import io.hingehoist.message.HostRows;
@@ -24,11 +25,11 @@
 import io.hingehoist.quorum.ControlAddresses;
 import io.hingehoist.route.RouteTable;
 import io.hingehoist.run.JobEnd;
-import io.hingehoist.run.JobOwner;
 import io.hingehoist.run.JobPlan;
-import io.hingehoist.run.OwnerEffect;
 import io.hingehoist.run.RunTiming;
 import io.hingehoist.run.ZoneKnowledge;
+import io.hingehoist.run.owner.JobOwner;
+import io.hingehoist.run.owner.OwnerEffect;
 import io.hingehoist.settings.NodeSection;
 import io.hingehoist.settings.OwnerSection;
 import io.hingehoist.wire.Addresses;
@@ -44,13 +45,12 @@
  * <p>Nothing in the path of a job asks the control replicas; they bring the configuration and the
  * addresses of hosts.
  */
-public final class OwnerNode implements JobIntake, AutoCloseable {
+public final class OwnerNode implements JobIntake, NodeLoop.Node, AutoCloseable {
   /** The name of the document that holds the routes. */
   public static final String CONFIGURATION = "configuration";
 
   private static final int MAX_BODY_BYTES = 1 << 20;
   private static final int MAX_READY_BODY_BYTES = 4_096;
-  private static final long TICK_MS = 50;
 
   /** A planned stop serves at least so long; then the platform has turned to other boxes. */
   private static final long STOP_SERVING_MS = 2_500;
@@ -63,7 +63,7 @@
   private final Adapter adapter;
   private final Metrics metrics;
   private final DecisionLog log;
-  private final EventLoop loop;
+  private final NodeLoop loop;
   private final RunTiming timing;
   private final JobOwner jobs;
   private final JobWaiters waiters = new JobWaiters();
@@ -75,7 +75,6 @@
   private final ZoneKnowledge zones = ZoneKnowledge.create();
   private RouteTable routes = RouteTable.empty();
   private long tickedAtMs;
-  private boolean settling;
 
   private OwnerNode(
       NodeSection node,
@@ -91,7 +90,7 @@
     this.metrics = metrics;
     this.stop = PlannedStop.of(settings.stopTimeoutSeconds());
     this.log = log;
-    this.loop = loop;
+    this.loop = NodeLoop.create(loop, stop, this);
     this.timing =
         RunTiming.of(
             settings.resubmitAfterMs(), settings.longestWorkerLeaseMs(), settings.killGraceMs());
@@ -134,8 +133,7 @@
       throws IOException {
     OwnerNode owner = new OwnerNode(node, settings, adapter, metrics, log, loop);
     owner.tickedAtMs = EventLoop.nowMs();
-    loop.execute(() -> owner.controls.open(ControlAddresses.of(node)));
-    loop.every(owner::onTick, TICK_MS);
+    owner.loop.start(() -> owner.controls.open(ControlAddresses.of(node)));
     metrics.addGauge("hingehoist_owner_jobs", "Jobs without an answer.", owner.jobs::jobCount);
     metrics.addGauge(
         "hingehoist_owner_queued_tasks", "Tasks that wait for room.", owner.jobs::queuedCount);
@@ -158,8 +156,8 @@
 
   // Time.
 
-  private void onTick() {
-    long now = EventLoop.nowMs();
+  @Override
+  public void onTick(long now) {
     if (now - tickedAtMs >= timing.ownerLeaseMs()) {
       standstill(now - tickedAtMs);
     }
@@ -168,7 +166,6 @@
     hosts.onTick(now);
     hosts.knock(controls.directory().peers(Role.AGENT), now);
     jobs.onTick(now);
-    settle();
     if (stop.hasBegun()) {
       checkStop(now);
     }
@@ -193,30 +190,21 @@
    * waits for those that are here. Returns whether all were answered. Called from another thread.
    */
   public boolean stop() {
-    loop.execute(
-        () -> {
-          stop.begin(EventLoop.nowMs());
-          front.closeAfterAnswers();
-          log.write("stopping", node.nodeId(), "jobs=" + jobs.jobCount());
-        });
-    boolean ended = stop.await();
+    boolean ended =
+        loop.stop(
+            nowMs -> {
+              front.closeAfterAnswers();
+              log.write("stopping", node.nodeId(), "jobs=" + jobs.jobCount());
+            });
     log.write("stopped", node.nodeId(), "jobsLeft=" + jobs.jobCount());
     return ended && jobs.jobCount() == 0;
   }
 
   // Effects.
 
-  /** Carries out what was decided, once for all events of one round of the loop. */
-  private void settleLater() {
-    if (!settling) {
-      settling = true;
-      loop.execute(this::settle);
-    }
-  }
-
-  private void settle() {
-    settling = false;
-    jobs.place(EventLoop.nowMs());
+  @Override
+  public void settle(long nowMs) {
+    jobs.place(nowMs);
     // An answer may free a caller's connection for its next job, which settles by itself.
     jobs.takeEffects().forEach(this::carryOut);
   }
@@ -270,21 +258,21 @@
     if (jobs.submit(plan, now)) {
       takenAtMs.put(plan.jobId(), now);
     }
-    settleLater();
+    loop.settleLater();
   }
 
   @Override
   public void leave(String jobId, Waiter waiter) {
     if (waiters.remove(jobId, waiter)) {
       jobs.abandon(jobId, "caller left");
-      settleLater();
+      loop.settleLater();
     }
   }
 
   @Override
   public boolean cancel(String jobId) {
     boolean found = jobs.cancel(jobId);
-    settleLater();
+    loop.settleLater();
     return found;
   }
 
@@ -351,7 +339,7 @@
     public void onOpened(String hostId, SessionOpened opened) {
       tellZones(hostId);
       jobs.sessionOpened(hostId, opened.zone(), opened.hostIncarnation(), opened.formerRunsOver());
-      settleLater();
+      loop.settleLater();
     }
 
     @Override
@@ -367,7 +355,7 @@
         case EvacuatedZones heard -> learnZones(heard, hostId);
         default -> metrics.noteBadFrame();
       }
-      settleLater();
+      loop.settleLater();
     }
 
     @Override
@@ -387,13 +375,13 @@
       log.write("sessionResumed", hostId, outcome);
       tellZones(hostId);
       jobs.sessionResumed(hostId);
-      settleLater();
+      loop.settleLater();
     }
 
     @Override
     public void onLost(String hostId, boolean silent, long leaseSinceMs) {
       jobs.sessionLost(hostId, silent, leaseSinceMs);
-      settleLater();
+      loop.settleLater();
     }
 
     @Override
