One inbox loop for agent, entry and control

Cause: the three nodes repeated the loop of a queue, a thread, a clock and a fatal error.

Change: InboxLoop has it once. An agent now takes what waits in its queue before it ticks, as the others did.

--- a/daemon/src/main/java/io/hingehoist/agent/AgentNode.java
+++ b/daemon/src/main/java/io/hingehoist/agent/AgentNode.java
@@ -6,6 +6,7 @@
 import io.hingehoist.command.CommandResult;
 import io.hingehoist.command.MemberRefused;
 import io.hingehoist.command.RegisterAgent;
+import io.hingehoist.loop.InboxLoop;
 import io.hingehoist.message.CreditDemand;
 import io.hingehoist.message.CreditReturn;
 import io.hingehoist.message.FenceJob;
@@ -33,11 +34,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -52,6 +51,7 @@
   private static final int MAX_QUEUED_FRAMES = 4_096;
   private static final long HEARTBEAT_MS = 500;
   private static final long POLL_MS = 50;
+  private static final int MAX_BATCH = 64;
   private static final long LAST_WORD_MS = 2_000;
   private static final long REHEARSAL_MS = 2_000;
 
@@ -63,16 +63,14 @@
   private final ControlClient control;
   private final FrameServer server;
   private final ExecutorService runners;
-  private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
   private final Map<Long, FrameConnection> entries = new HashMap<>();
   private final CountDownLatch settled = new CountDownLatch(1);
-  private final Thread controlThread;
+  private final InboxLoop<Runnable> loop;
   private long heartbeatSentAtMs;
   private boolean heartbeatOpen;
   private boolean registering;
   private boolean hadLease;
   private boolean stopping;
-  private volatile boolean closed;
 
   private AgentNode(
       NodeSection node,
@@ -93,7 +91,7 @@
         ControlClient.create(
             node.controlAddresses(), settings.listenAddress(), hello, metrics, threads);
     this.runners = Executors.newFixedThreadPool(settings.slots(), threads);
-    this.controlThread = new Thread(() -> run(fatal), "ledger");
+    this.loop = InboxLoop.create("ledger", POLL_MS, MAX_BATCH, this::onBatch, fatal);
     this.server =
         FrameServer.open(
             Addresses.firstNonEmpty(settings.bindAddress(), settings.listenAddress()),
@@ -112,32 +110,17 @@
       Consumer<Throwable> fatal)
       throws IOException {
     AgentNode agent = new AgentNode(node, settings, metrics, threads, fatal);
-    agent.controlThread.start();
+    agent.loop.start();
     LOG.infof(
         "event=agentStarted agent=%s incarnation=%d", node.nodeId(), agent.ledger.incarnation());
     return agent;
   }
 
-  private static long nowMs() {
-    return System.nanoTime() / 1_000_000;
-  }
-
   // The control thread.
 
-  private void run(Consumer<Throwable> fatal) {
-    try {
-      while (!closed) {
-        Runnable event = inbox.poll(POLL_MS, TimeUnit.MILLISECONDS);
-        if (event != null) {
-          event.run();
-        }
-        onTick(nowMs());
-      }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    } catch (RuntimeException | Error e) {
-      fatal.accept(e);
-    }
+  private void onBatch(List<Runnable> events, long nowMs) {
+    events.forEach(Runnable::run);
+    onTick(nowMs);
   }
 
   private void onTick(long now) {
@@ -168,7 +151,7 @@
                     id, Role.AGENT, node.nodeId(), incarnation, stopping, 0, 0, List.of()))
         .whenComplete(
             (response, failure) ->
-                inbox.add(
+                loop.add(
                     () -> {
                       heartbeatOpen = false;
                       if (response != null) {
@@ -213,7 +196,7 @@
                 settings.service(),
                 settings.slots(),
                 settings.connections()))
-        .thenAccept(result -> inbox.add(() -> onRegistered(result)));
+        .thenAccept(result -> loop.add(() -> onRegistered(result)));
   }
 
   private void onRegistered(CommandResult result) {
@@ -249,7 +232,7 @@
 
   private void run(LedgerEffect.Run run) {
     BackendAnswer answer = backend.run(nameOf(run.key()), run.payload(), run.timeoutMs());
-    inbox.add(() -> onAnswer(run.key(), answer));
+    loop.add(() -> onAnswer(run.key(), answer));
   }
 
   private static String nameOf(RunKey key) {
@@ -293,9 +276,9 @@
     public void onMessage(FrameConnection connection, Message message) {
       if (!greeted && message instanceof Hello hello && isWelcome(hello)) {
         greeted = true;
-        inbox.add(() -> onConnected(connection));
+        loop.add(() -> onConnected(connection));
       } else if (greeted && isFromEntry(message)) {
-        inbox.add(() -> carryOut(ledger.onMessage(connection.id(), message, nowMs())));
+        loop.add(() -> carryOut(ledger.onMessage(connection.id(), message, InboxLoop.nowMs())));
       } else {
         metrics.noteBadFrame();
         connection.close();
@@ -314,7 +297,7 @@
 
     @Override
     public void onClosed(FrameConnection connection) {
-      inbox.add(
+      loop.add(
           () -> {
             entries.remove(connection.id());
             carryOut(ledger.onDisconnected(connection.id()));
@@ -336,7 +319,7 @@
    * @return whether everything was settled in time
    */
   public boolean stop() {
-    inbox.add(
+    loop.add(
         () -> {
           stopping = true;
           setDraining(true);
@@ -372,7 +355,7 @@
 
   @Override
   public void close() {
-    closed = true;
+    loop.close();
     server.close();
     control.close();
     runners.shutdownNow();
--- a/daemon/src/main/java/io/hingehoist/entry/EntryNode.java
+++ b/daemon/src/main/java/io/hingehoist/entry/EntryNode.java
@@ -10,6 +10,7 @@
 import io.hingehoist.dispatch.Dispatcher;
 import io.hingehoist.dispatch.RequestOutcome;
 import io.hingehoist.dispatch.RequestSpec;
+import io.hingehoist.loop.InboxLoop;
 import io.hingehoist.message.AgentStatus;
 import io.hingehoist.message.Hello;
 import io.hingehoist.message.MembersUpdate;
@@ -28,9 +29,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -44,6 +43,7 @@
 public final class EntryNode implements AutoCloseable {
   private static final Logger LOG = Logger.getLogger(EntryNode.class);
   private static final long POLL_MS = 5;
+  private static final int MAX_BATCH = 4_096;
   private static final long REPORT_TIMEOUT_MS = 3_000;
   private static final long SETTLE_POLL_MS = 20;
 
@@ -58,16 +58,14 @@
   private final ControlSession session;
   private final AgentLinks links;
   private final JobDesk jobs;
-  private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
   private final Map<Long, CompletableFuture<Answer>> requests = new HashMap<>();
-  private final Thread dispatchThread;
+  private final InboxLoop<Runnable> loop;
   private long nextRequestId;
   private boolean hadLease;
   private volatile boolean ready;
   private volatile boolean leaving;
   private volatile boolean refusing;
   private volatile boolean settled;
-  private volatile boolean closed;
   private volatile int waitingCount;
   private volatile int inFlightCount;
   private volatile int usableWorkers;
@@ -87,22 +85,22 @@
         ControlClient.create(
             node.controlAddresses(), settings.httpAddress(), hello, metrics, threads);
     this.dispatcher = Dispatcher.create(node.zone(), new Random());
+    this.loop = InboxLoop.create("dispatch", POLL_MS, MAX_BATCH, this::onBatch, fatal);
     this.links =
         new AgentLinks(
-            settings.httpAddress(), hello, new AgentListener(), inbox::add, metrics, threads);
+            settings.httpAddress(), hello, new AgentListener(), loop::add, metrics, threads);
     this.session =
         new ControlSession(
             node.nodeId(),
             settings.httpAddress(),
             node.zone(),
             control,
-            inbox::add,
+            loop::add,
             new SessionListener(),
             dispatcher::ownedJobIds);
     this.jobs =
         new JobDesk(
-            node.nodeId(), dispatcher, control, inbox::add, this::carryOut, session::incarnation);
-    this.dispatchThread = new Thread(() -> run(fatal), "dispatch");
+            node.nodeId(), dispatcher, control, loop::add, this::carryOut, session::incarnation);
     addGauges();
   }
 
@@ -114,12 +112,12 @@
       ThreadFactory threads,
       Consumer<Throwable> fatal) {
     EntryNode entry = new EntryNode(node, settings, metrics, threads, fatal);
-    entry.dispatchThread.start();
+    entry.loop.start();
     return entry;
   }
 
   static long nowMs() {
-    return System.nanoTime() / 1_000_000;
+    return InboxLoop.nowMs();
   }
 
   private void addGauges() {
@@ -135,21 +133,9 @@
 
   // The dispatch thread.
 
-  private void run(Consumer<Throwable> fatal) {
-    try {
-      while (!closed) {
-        Runnable event = inbox.poll(POLL_MS, TimeUnit.MILLISECONDS);
-        while (event != null) {
-          event.run();
-          event = inbox.poll();
-        }
-        onTick(nowMs());
-      }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    } catch (RuntimeException | Error e) {
-      fatal.accept(e);
-    }
+  private void onBatch(List<Runnable> events, long nowMs) {
+    events.forEach(Runnable::run);
+    onTick(nowMs);
   }
 
   private void onTick(long now) {
@@ -261,7 +247,7 @@
    */
   public CompletableFuture<Answer> submitJob(JobSubmission submission, boolean wait) {
     CompletableFuture<Answer> answer = new CompletableFuture<>();
-    inbox.add(
+    loop.add(
         () -> {
           LocalJob job = jobs.submit(submission, refusing, nowMs());
           (wait ? job.ended() : job.admitted()).thenAccept(answer::complete);
@@ -272,7 +258,7 @@
   /** Runs a repeatable request. */
   public CompletableFuture<Answer> runRequest(RequestSubmission submission) {
     CompletableFuture<Answer> answer = new CompletableFuture<>();
-    inbox.add(() -> startRequest(submission, answer));
+    loop.add(() -> startRequest(submission, answer));
     return answer;
   }
 
@@ -344,7 +330,7 @@
   /** Nothing may start under this incarnation once the log says that it has ended. */
   private void endIncarnation() {
     CompletableFuture<Void> abandoned = new CompletableFuture<>();
-    inbox.add(
+    loop.add(
         () -> {
           session.end();
           carryOut(dispatcher.onIncarnationEnded());
@@ -362,7 +348,7 @@
 
   @Override
   public void close() {
-    closed = true;
+    loop.close();
     links.closeAll();
     control.close();
   }
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -15,6 +15,7 @@
 import io.hingehoist.control.Liveness;
 import io.hingehoist.journal.Disk;
 import io.hingehoist.journal.Journal;
+import io.hingehoist.loop.InboxLoop;
 import io.hingehoist.message.Announce;
 import io.hingehoist.message.AppendRequest;
 import io.hingehoist.message.AppendResponse;
@@ -61,8 +62,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -83,12 +82,15 @@
   private static final long TICK_MS = 30;
   private static final long CLOCK_PERIOD_MS = 5_000;
   private static final long REPROPOSE_MS = 1_000;
+
+  /** Time for the last group commit, the sync of a slow disk included. */
+  private static final long CLOSE_PATIENCE_MS = 5_000;
+
   private static final long MAX_SEGMENT_BYTES = 64L * 1024 * 1024;
 
   private final ControlSection settings;
   private final Journal journal;
   private final Metrics metrics;
-  private final Consumer<Throwable> fatal;
   private final Replica replica;
   private final Liveness liveness;
   private final ClientRequests requests;
@@ -96,10 +98,9 @@
   private final Discovery discovery;
   private final boolean discovers;
   private final int voterCount;
-  private final BlockingQueue<ControlEvent> inbox = new LinkedBlockingQueue<>();
+  private final InboxLoop<ControlEvent> loop;
   private final List<ReplicaEffect.SendDurable> afterSync = new ArrayList<>();
   private final Map<Command, Long> proposedAtMs = new HashMap<>();
-  private final Thread controlThread;
   private final Thread platformThread;
   private final FrameServer server;
   private ControlState state;
@@ -122,8 +123,9 @@
       throws IOException {
     this.settings = settings;
     this.journal = journal;
+    // After a failed sync nothing is known of the disk: going on could break a promise.
+    this.loop = InboxLoop.create("control", TICK_MS, MAX_BATCH, new LoopNode(), fatal);
     this.metrics = metrics;
-    this.fatal = fatal;
     List<String> controlAddresses = ControlAddresses.of(node);
     this.voterCount =
         settings.lossesBorne() == 0 ? controlAddresses.size() : 2 * settings.lossesBorne() + 1;
@@ -164,7 +166,6 @@
             metrics,
             threads,
             MAX_QUEUED_FRAMES);
-    this.controlThread = new Thread(this::run, "control");
     this.platformThread = new Thread(this::readPlatformList, "platform-list");
     this.platformThread.setDaemon(true);
   }
@@ -185,7 +186,7 @@
       throws IOException {
     Journal journal = Journal.open(Path.of(node.dataFolder()), disk, metrics);
     ControlNode control = new ControlNode(node, settings, journal, metrics, threads, fatal);
-    control.controlThread.start();
+    control.loop.start();
     if (!settings.platformList().isEmpty()) {
       control.platformThread.start();
     }
@@ -194,7 +195,7 @@
 
   /** Follows settings that were read again: new addresses of replicas are used as well. */
   public void reload(NodeSection node) {
-    inbox.add(new ControlEvent.AddressesChanged(ControlAddresses.of(node)));
+    loop.add(new ControlEvent.AddressesChanged(ControlAddresses.of(node)));
   }
 
   /** Takes a request from within this process; the answer goes to the sink. */
@@ -202,7 +203,7 @@
     if (!isFromClient(request)) {
       throw new IllegalArgumentException("not a request: " + request);
     }
-    inbox.add(new ControlEvent.FromClient(client, request));
+    loop.add(new ControlEvent.FromClient(client, request));
   }
 
   /** Returns whether this replica leads. */
@@ -211,42 +212,32 @@
   }
 
   private static long nowMs() {
-    return System.nanoTime() / 1_000_000;
+    return InboxLoop.nowMs();
   }
 
   private void readPlatformList() {
     PlatformList list = new PlatformList(settings.platformList());
     while (!closed) {
-      list.read(boxes -> inbox.add(new ControlEvent.Platform(boxes)));
+      list.read(boxes -> loop.add(new ControlEvent.Platform(boxes)));
       LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(settings.platformListMs()));
     }
   }
 
   // The control thread.
 
-  private void run() {
-    try {
-      List<ControlEvent> batch = new ArrayList<>();
-      while (!closed) {
-        ControlEvent first = inbox.poll(TICK_MS, TimeUnit.MILLISECONDS);
-        if (first != null) {
-          batch.add(first);
-          inbox.drainTo(batch, MAX_BATCH);
-        }
-        handle(batch);
-        batch.clear();
-      }
+  private final class LoopNode implements InboxLoop.Node<ControlEvent> {
+    @Override
+    public void onBatch(List<ControlEvent> events, long nowMs) throws IOException {
+      handle(events, nowMs);
+    }
+
+    @Override
+    public void onClosed() throws IOException {
       journal.close();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    } catch (IOException | RuntimeException | Error e) {
-      // After a failed sync nothing is known of the disk: going on could break a promise.
-      fatal.accept(e);
     }
   }
 
-  private void handle(List<ControlEvent> batch) throws IOException {
-    long now = nowMs();
+  private void handle(List<ControlEvent> batch, long now) throws IOException {
     for (ControlEvent event : batch) {
       handle(event, now);
     }
@@ -609,11 +600,11 @@
       if (hello == null) {
         greet(connection, message);
       } else if (message instanceof Announce announce) {
-        inbox.add(new ControlEvent.Announced(connection, announce));
+        loop.add(new ControlEvent.Announced(connection, announce));
       } else if (hello.role() == Role.CONTROL && isFromReplica(message)) {
-        inbox.add(new ControlEvent.FromReplica(message));
+        loop.add(new ControlEvent.FromReplica(message));
       } else if (hello.role() != Role.CONTROL && isFromClient(message)) {
-        inbox.add(new ControlEvent.FromClient(connection, message));
+        loop.add(new ControlEvent.FromClient(connection, message));
       } else {
         metrics.noteBadFrame();
         connection.close();
@@ -640,11 +631,7 @@
     closed = true;
     server.close();
     LockSupport.unpark(platformThread);
-    try {
-      controlThread.join(TimeUnit.SECONDS.toMillis(5));
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    loop.close(CLOSE_PATIENCE_MS);
     // Until it has ended, the control thread opens links.
     links.close();
   }
