--- a/core/src/main/java/io/hingehoist/run/host/AnswerTimes.java
+++ b/core/src/main/java/io/hingehoist/run/host/AnswerTimes.java
@@ -16,8 +16,7 @@
   private static final long FIRST_MS = 60;
 
   /**
-   * A worker on the same box answers in about 1 ms. With 30 in place of 20, two windows of a played
-   * day in which calls got lost earned 0.78 and 0.88 in place of 0.88 and 0.96.
+   * A worker on the same box answers in about 1 ms; a shorter time would take its pauses for losses.
    */
   private static final long MIN_MS = 20;
 
--- a/core/src/main/java/io/hingehoist/run/host/ShownRows.java
+++ b/core/src/main/java/io/hingehoist/run/host/ShownRows.java
@@ -12,8 +12,6 @@
 
   /**
    * The pause for each owner, so that a host shows its workers at most fifty times a second in all.
-   * Played load of 11 owners and 65 hosts, two mixes, from 0.95 to 1.8 of the usual load, pauses of
-   * 110 and 220 ms: earned 0.9571 and 0.9572, 7 % fewer rows, 12 % fewer refused starts.
    */
   private static final long PAUSE_PER_OWNER_MS = 20;
 
--- a/core/src/main/java/io/hingehoist/run/owner/PlacementPass.java
+++ b/core/src/main/java/io/hingehoist/run/owner/PlacementPass.java
@@ -30,9 +30,7 @@
   /**
    * The share of a worker that must stay free beside a further task of the same step. With that
    * much a job's tasks stay together, so that fewer jobs meet a worker that does not get on, and
-   * fewer orders carry the text of a job. Played load, 6 owners, 44 workers, 12 seeds, at 0.6 of
-   * the room while 0.16 of the workers are slow: earned 0.970 to 0.974, orders 9,578 to 6,867; at
-   * 0.9 both earn 0.909. With a share of 0.25: 0.974 and 7,279.
+   * fewer orders carry the text of a job.
    */
   private static final double TOGETHER_SPARE_SHARE = 0.15;
 
--- a/core/src/main/java/io/hingehoist/run/owner/WaitingReport.java
+++ b/core/src/main/java/io/hingehoist/run/owner/WaitingReport.java
@@ -13,8 +13,7 @@
 
   /**
    * The pause grows with the square of the number of hosts, as each owner tells each of them: 10 ms
-   * for 11 hosts, 48 for 24. Played load of 12 owners and 70 hosts at 1.1 of the room, 24 and 96
-   * ms: earned 0.995 and 0.988, 8,300 and 2,500 reports a second.
+   * for 11 hosts, 48 for 24.
    */
   private static final long HOSTS_SQUARED_PER_MS = 12;
 
--- a/core/src/main/java/io/hingehoist/run/owner/WorkerChoice.java
+++ b/core/src/main/java/io/hingehoist/run/owner/WorkerChoice.java
@@ -20,9 +20,7 @@
 
   /**
    * From this slowness on a worker is left to tasks that will be in time there, or can't be in time
-   * anywhere. Played load, 0.16 of the workers at half speed, at 0.6 and 0.95 of the room: earned
-   * 0.938 to 0.963 and 0.830 to 0.849 (11 workers), 0.947 to 0.964 and 0.870 to 0.896 (44); at 1.2,
-   * and two thirds of the usual speed, 0.923 falls to 0.903.
+   * anywhere: most tasks have less than that to spare.
    */
   private static final double SLOW_FOR_SOME = 1.4;
 
--- a/daemon/src/main/java/io/hingehoist/net/ControlLinks.java
+++ b/daemon/src/main/java/io/hingehoist/net/ControlLinks.java
@@ -31,8 +31,7 @@
  */
 public final class ControlLinks implements AutoCloseable {
   /**
-   * With 84 processes and five replicas, 210 announcements a second and as many answers. What
-   * changes is told at once; an announcement only keeps the directory fresh.
+   * Each process announces itself to each replica, and is answered. What changes is told at once; an announcement only keeps the directory fresh.
    */
   private static final long ANNOUNCE_MS = 2_000;
 
