A replica sends a large document whole before everything else: a test that fails

450 KB go to a new owner and again for each change (the test: "a new owner was sent" 450 KB), from each of five replicas, on the connection that carries the directory and announcements.

--- a/daemon/src/main/java/io/hingehoist/net/ControlLinks.java
+++ b/daemon/src/main/java/io/hingehoist/net/ControlLinks.java
@@ -31,7 +31,8 @@
  */
 public final class ControlLinks implements AutoCloseable {
   /**
-   * Each process announces itself to each replica, and is answered. What changes is told at once; an announcement only keeps the directory fresh.
+   * Each process announces itself to each replica, and is answered. What changes is told at once;
+   * an announcement only keeps the directory fresh.
    */
   private static final long ANNOUNCE_MS = 2_000;
 
--- /dev/null
+++ b/daemon/src/test/java/io/hingehoist/quorum/LargeDocumentTest.java
@@ -0,0 +1,158 @@
+package io.hingehoist.quorum;
+
+import static org.testng.Assert.assertTrue;
+
+import io.hingehoist.adapter.OperatorOrders.Result;
+import io.hingehoist.journal.Disk;
+import io.hingehoist.journal.Journal;
+import io.hingehoist.message.Announce;
+import io.hingehoist.message.Bytes;
+import io.hingehoist.message.FieldSpec;
+import io.hingehoist.message.Hello;
+import io.hingehoist.message.Message;
+import io.hingehoist.message.Peer;
+import io.hingehoist.message.Role;
+import io.hingehoist.metrics.Metrics;
+import io.hingehoist.net.EventLoop;
+import io.hingehoist.settings.ControlSection;
+import io.hingehoist.settings.FieldSpecs;
+import io.hingehoist.settings.NodeSection;
+import io.hingehoist.wire.FrameConnection;
+import io.hingehoist.wire.FrameHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * An operator publishes 450 KB while an owner follows. Sent whole by five replicas, they stand for
+ * a second before heartbeats and orders on an entry box's link of 17 Mbit/s.
+ */
+public final class LargeDocumentTest {
+  private static final int DOCUMENT_BYTES = 450_000;
+
+  /** Some 7 ms on a link of 17 Mbit/s: what a heartbeat may wait for. */
+  private static final int MAX_MESSAGE_BYTES = 16_000;
+
+  private static final long PATIENCE_SECONDS = 30;
+
+  private final BlockingQueue<Message> received = new LinkedBlockingQueue<>();
+  private EventLoop loop;
+  private ControlNode replica;
+  private String address;
+
+  @BeforeMethod
+  public void start() throws IOException {
+    Path folder = Files.createTempDirectory(Path.of("target"), "large-document");
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      address = "127.0.0.1:" + socket.getLocalPort();
+    }
+    loop = EventLoop.start(Throwable::printStackTrace);
+    Journal.found(folder, Disk.real(), "c", address, 1);
+    replica =
+        ControlNode.start(
+            NodeSection.from(
+                values(
+                    NodeSection.SPECS,
+                    Map.of(
+                        "nodeId",
+                        "r",
+                        "roles",
+                        "control",
+                        "zone",
+                        "z",
+                        "controlAddresses",
+                        address,
+                        "peerPort",
+                        address.substring(address.indexOf(':') + 1),
+                        "dataFolder",
+                        folder.toString()))),
+            ControlSection.from(values(ControlSection.SPECS, Map.of("listenAddress", address))),
+            Disk.real(),
+            Metrics.create(),
+            Thread.ofVirtual().factory(),
+            Throwable::printStackTrace);
+  }
+
+  @AfterMethod
+  public void stop() {
+    replica.close();
+    loop.close();
+  }
+
+  private static Function<String, String> values(List<FieldSpec> specs, Map<String, String> given) {
+    return name ->
+        given.getOrDefault(name, FieldSpecs.find(specs, name).orElseThrow().defaultValue());
+  }
+
+  private void publish(long version) throws Exception {
+    long beganAtNanos = System.nanoTime();
+    while (System.nanoTime() - beganAtNanos < TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS)) {
+      CompletableFuture<Result> result = new CompletableFuture<>();
+      loop.execute(
+          () ->
+              LocalOrders.of(replica, loop, "configuration")
+                  .publish(version, Bytes.copyOf(new byte[DOCUMENT_BYTES]), result::complete));
+      if (result.get(PATIENCE_SECONDS, TimeUnit.SECONDS) instanceof Result.Accepted) {
+        return;
+      }
+    }
+    throw new AssertionError("no clear answer to version " + version);
+  }
+
+  private FrameConnection follow() throws IOException {
+    String host = address.substring(0, address.indexOf(':'));
+    int port = Integer.parseInt(address.substring(address.indexOf(':') + 1));
+    FrameHandler handler =
+        new FrameHandler() {
+          @Override
+          public void onMessage(FrameConnection connection, Message message) {
+            received.add(message);
+          }
+
+          @Override
+          public void onClosed(FrameConnection connection) {}
+        };
+    FrameConnection connection =
+        FrameConnection.start(
+            new Socket(host, port), handler, Metrics.create(), Thread.ofVirtual().factory(), 100);
+    connection.send(new Hello(Role.ENTRY, "o", 1, "", FrameConnection.PROTOCOL_VERSION));
+    connection.send(new Announce(new Peer("o", Role.ENTRY, "127.0.0.1:1", 1, "z"), List.of(), 0));
+    return connection;
+  }
+
+  /** Returns the next message that is about the document. */
+  private Message nextOfDocument() throws InterruptedException {
+    Message message;
+    do {
+      message = received.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+      assertTrue(message != null, "the replica says nothing of the document");
+    } while (!message.getClass().getSimpleName().startsWith("Document"));
+    return message;
+  }
+
+  @Test
+  public void aLargeDocumentDoesNotStandBeforeHeartbeats() throws Exception {
+    publish(1);
+    try (FrameConnection owner = follow()) {
+      assertTrue(owner.isOpen());
+      int firstBytes = nextOfDocument().toBytes().size();
+      assertTrue(firstBytes <= MAX_MESSAGE_BYTES, "a new owner was sent " + firstBytes + " bytes");
+      publish(2);
+      int changeBytes = nextOfDocument().toBytes().size();
+      assertTrue(changeBytes <= MAX_MESSAGE_BYTES, "a change took " + changeBytes + " bytes");
+    }
+  }
+}
