Routes come to owners by change, part by part, from one replica at a time

Cause: each of five replicas sent the whole text (450 KB for 1,940 routes) to each owner; on 17 Mbit/s that is a second in which heartbeats, orders and ends wait, then it was parsed at one go; and each request for an unknown route read the whole text again.

Unknown routes ask for the newest version's number only. A route is found by a search of a sorted map, not by a walk over all of its host's.

--- a/core/src/main/java/io/hingehoist/run/RunTiming.java
+++ b/core/src/main/java/io/hingehoist/run/RunTiming.java
@@ -27,8 +27,8 @@
   public static final long BEAT_MS = 200;
 
   /**
-   * The same where nothing of the owner runs, so that no lease needs to be renewed: most pairs of
-   * a large fleet share no run, and their heartbeats would grow with the product of both.
+   * The same where nothing of the owner runs, so that no lease needs to be renewed: most pairs of a
+   * large fleet share no run, and their heartbeats would grow with the product of both.
    */
   public static final long IDLE_BEAT_MS = 1_000;
 
--- a/core/src/main/java/io/hingehoist/run/host/AnswerTimes.java
+++ b/core/src/main/java/io/hingehoist/run/host/AnswerTimes.java
@@ -16,7 +16,8 @@
   private static final long FIRST_MS = 60;
 
   /**
-   * A worker on the same box answers in about 1 ms; a shorter time would take its pauses for losses.
+   * A worker on the same box answers in about 1 ms; a shorter time would take its pauses for
+   * losses.
    */
   private static final long MIN_MS = 20;
 
--- a/core/src/test/java/io/hingehoist/route/RouteTableTest.java
+++ b/core/src/test/java/io/hingehoist/route/RouteTableTest.java
@@ -21,4 +21,17 @@
     assertTrue(table.find("h", "/other").isEmpty());
     assertTrue(table.find("nobody", "/x/").isEmpty());
   }
+
+  @Test
+  public void aNeighbourInTheOrderOfPrefixesHidesNoShorterOne() {
+    RouteTable table =
+        RouteTable.of(
+            3, List.of(route("a", "h", "/x"), route("b", "h", "/x/a/"), route("c", "h", "/x/b/c")));
+    assertEquals(table.find("h", "/x/b/1").orElseThrow().name(), "a");
+    assertEquals(table.find("h", "/x/b/c").orElseThrow().name(), "c");
+    assertEquals(table.find("h", "/x/a/").orElseThrow().name(), "b");
+    assertEquals(table.find("h", "/x").orElseThrow().name(), "a");
+    assertTrue(table.find("h", "/w").isEmpty());
+    assertTrue(table.find("h", "").isEmpty());
+  }
 }
--- a/daemon/src/main/java/io/hingehoist/daemon/AdaptedProcess.java
+++ b/daemon/src/main/java/io/hingehoist/daemon/AdaptedProcess.java
@@ -16,6 +16,7 @@
 import io.hingehoist.owner.OwnerNode;
 import io.hingehoist.quorum.ControlNode;
 import io.hingehoist.quorum.LocalOrders;
+import io.hingehoist.quorum.RouteFeed;
 import io.hingehoist.settings.ControlSection;
 import io.hingehoist.settings.HostSection;
 import io.hingehoist.settings.NodeSection;
@@ -25,6 +26,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -100,6 +102,7 @@
             Disk.real(),
             metrics,
             Thread.ofVirtual().name("traffic").factory(),
+            Optional.of(RouteFeed.of(loop, OwnerNode.CONFIGURATION, adapter::toRoutes)),
             Main::halt);
     if (!section.doorAddress().isEmpty()) {
       LocalOrders orders = LocalOrders.of(control, loop, OwnerNode.CONFIGURATION);
--- a/daemon/src/main/java/io/hingehoist/daemon/ServerProcess.java
+++ b/daemon/src/main/java/io/hingehoist/daemon/ServerProcess.java
@@ -37,6 +37,7 @@
                   Disk.real(),
                   metrics,
                   threads,
+                  Optional.empty(),
                   Main::halt));
     }
     Optional<EntryNode> entry =
--- a/daemon/src/main/java/io/hingehoist/host/HostNode.java
+++ b/daemon/src/main/java/io/hingehoist/host/HostNode.java
@@ -8,13 +8,14 @@
 import io.hingehoist.log.DecisionLog;
 import io.hingehoist.loop.NodeLoop;
 import io.hingehoist.message.Announce;
-import io.hingehoist.message.DocumentUpdate;
+import io.hingehoist.message.DocumentNotice;
 import io.hingehoist.message.EvacuatedZones;
 import io.hingehoist.message.Message;
 import io.hingehoist.message.OwnerBeat;
 import io.hingehoist.message.OwnerWaiting;
 import io.hingehoist.message.Peer;
 import io.hingehoist.message.Role;
+import io.hingehoist.message.RoutesPart;
 import io.hingehoist.message.StartRuns;
 import io.hingehoist.message.StopRun;
 import io.hingehoist.metrics.Metrics;
@@ -283,7 +284,10 @@
     }
 
     @Override
-    public void onDocument(DocumentUpdate update) {}
+    public void onNotice(String address, DocumentNotice notice) {}
+
+    @Override
+    public void onRoutes(String address, RoutesPart part) {}
 
     @Override
     public void onZones(String address, EvacuatedZones zones) {
--- a/daemon/src/main/java/io/hingehoist/net/ControlLinks.java
+++ b/daemon/src/main/java/io/hingehoist/net/ControlLinks.java
@@ -1,12 +1,12 @@
 package io.hingehoist.net;
 
-import io.hingehoist.command.DocumentVersion;
-import io.hingehoist.command.GetDocument;
+import io.hingehoist.command.GetDocumentVersion;
+import io.hingehoist.command.NewestVersion;
 import io.hingehoist.command.QueryAnswer;
 import io.hingehoist.directory.PeerDirectory;
 import io.hingehoist.message.Announce;
 import io.hingehoist.message.Directory;
-import io.hingehoist.message.DocumentUpdate;
+import io.hingehoist.message.DocumentNotice;
 import io.hingehoist.message.EvacuatedZones;
 import io.hingehoist.message.Hello;
 import io.hingehoist.message.Message;
@@ -15,6 +15,7 @@
 import io.hingehoist.message.QueryResponse;
 import io.hingehoist.message.ReplyStatus;
 import io.hingehoist.message.Role;
+import io.hingehoist.message.RoutesPart;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.wire.FrameConnection;
 import java.io.IOException;
@@ -51,8 +52,11 @@
     /** Takes the directory after a change. */
     void onDirectory(PeerDirectory directory);
 
-    /** Takes a committed document. */
-    void onDocument(DocumentUpdate update);
+    /** Takes word of a committed document's version. */
+    void onNotice(String address, DocumentNotice notice);
+
+    /** Takes a part of newer routes. */
+    void onRoutes(String address, RoutesPart part);
 
     /** Takes word of the evacuated availability zones. */
     void onZones(String address, EvacuatedZones zones);
@@ -66,7 +70,10 @@
     private long directoryVersion;
   }
 
-  private record PendingRead(Consumer<Optional<DocumentVersion>> result) {}
+  /** The newest version of a document, and the replica that said so. */
+  public record Newest(String address, long version) {}
+
+  private record PendingRead(Consumer<Optional<Newest>> result) {}
 
   private final EventLoop loop;
   private final Peer self;
@@ -150,20 +157,28 @@
     listener.onDirectory(directory);
   }
 
+  /** Sends a message to a replica, if a link to it is open. */
+  public void send(String address, Message message) {
+    Link link = links.get(address);
+    if (link != null) {
+      link.frames.send(message);
+    }
+  }
+
   /**
-   * Reads a document from whichever replica leads.
+   * Reads from whichever replica leads which version of a document is the newest.
    *
    * @param result gets it; empty if no leader answers in time
    */
-  public void read(String document, Consumer<Optional<DocumentVersion>> result) {
+  public void readNewestVersion(String document, Consumer<Optional<Newest>> result) {
     long id = ++nextRead;
     reads.put(id, new PendingRead(result));
-    QueryRequest request = new QueryRequest(id, new GetDocument(document).toBytes());
+    QueryRequest request = new QueryRequest(id, new GetDocumentVersion(document).toBytes());
     links.values().forEach(link -> link.frames.send(request));
     loop.schedule(() -> settle(id, Optional.empty()), READ_TIMEOUT_MS);
   }
 
-  private void settle(long id, Optional<DocumentVersion> version) {
+  private void settle(long id, Optional<Newest> version) {
     PendingRead read = reads.remove(id);
     if (read != null) {
       read.result().accept(version);
@@ -188,7 +203,8 @@
     public void onMessage(PeerChannel channel, Message message) {
       switch (message) {
         case Directory update -> take(update);
-        case DocumentUpdate update -> listener.onDocument(update);
+        case DocumentNotice notice -> listener.onNotice(link.frames.address(), notice);
+        case RoutesPart part -> listener.onRoutes(link.frames.address(), part);
         case EvacuatedZones zones -> listener.onZones(link.frames.address(), zones);
         case QueryResponse response -> take(response);
         default -> channel.close();
@@ -215,10 +231,10 @@
       }
     }
 
-    private static Optional<DocumentVersion> decode(QueryResponse response) {
+    private Optional<Newest> decode(QueryResponse response) {
       try {
-        return QueryAnswer.fromBytes(response.result()) instanceof DocumentVersion version
-            ? Optional.of(version)
+        return QueryAnswer.fromBytes(response.result()) instanceof NewestVersion newest
+            ? Optional.of(new Newest(link.frames.address(), newest.version()))
             : Optional.empty();
       } catch (IOException e) {
         return Optional.empty();
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -5,12 +5,13 @@
 import io.hingehoist.directory.PeerDirectory;
 import io.hingehoist.log.DecisionLog;
 import io.hingehoist.loop.NodeLoop;
-import io.hingehoist.message.DocumentUpdate;
+import io.hingehoist.message.DocumentNotice;
 import io.hingehoist.message.EvacuatedZones;
 import io.hingehoist.message.HostRows;
 import io.hingehoist.message.Message;
 import io.hingehoist.message.Peer;
 import io.hingehoist.message.Role;
+import io.hingehoist.message.RoutesPart;
 import io.hingehoist.message.RunEnded;
 import io.hingehoist.message.RunNotStarted;
 import io.hingehoist.message.SessionOpened;
@@ -73,7 +74,7 @@
   private final HostSessions hosts;
   private final HttpServer front;
   private final ZoneKnowledge zones = ZoneKnowledge.create();
-  private RouteTable routes = RouteTable.empty();
+  private final RouteFollower routes;
   private long tickedAtMs;
 
   private OwnerNode(
@@ -103,6 +104,7 @@
             System.currentTimeMillis(),
             node.zone());
     this.controls = ControlLinks.create(loop, self, metrics, new ControlListener());
+    this.routes = new RouteFollower(CONFIGURATION, controls, log);
     this.hosts =
         new HostSessions(
             loop,
@@ -150,7 +152,7 @@
 
   private void answerReady(HttpCall call) {
     boolean ready =
-        !stop.hasBegun() && routes.version() > 0 && jobs.hasReadyWorker(EventLoop.nowMs());
+        !stop.hasBegun() && routes.table().version() > 0 && jobs.hasReadyWorker(EventLoop.nowMs());
     call.answer(HttpAnswer.text(ready ? 200 : 503, ready ? "ready" : "not ready"));
   }
 
@@ -163,6 +165,7 @@
     }
     tickedAtMs = now;
     controls.onTick(now);
+    routes.onTick(now);
     hosts.onTick(now);
     hosts.knock(controls.directory().peers(Role.AGENT), now);
     jobs.onTick(now);
@@ -230,19 +233,12 @@
 
   @Override
   public Optional<RouteTable> routes() {
-    return routes.version() == 0 ? Optional.empty() : Optional.of(routes);
+    return Optional.of(routes.table()).filter(table -> table.version() > 0);
   }
 
   @Override
   public void readNewestRoutes(Consumer<Optional<RouteTable>> result) {
-    controls.read(
-        CONFIGURATION,
-        found -> {
-          found
-              .filter(document -> document.version() > 0)
-              .ifPresent(document -> takeRoutes(document.version(), document.content()));
-          result.accept(found.map(document -> routes));
-        });
+    routes.readNewest(result);
   }
 
   @Override
@@ -288,14 +284,6 @@
 
   // What control replicas and hosts say.
 
-  private void takeRoutes(long version, io.hingehoist.message.Bytes content) {
-    if (version <= routes.version()) {
-      return;
-    }
-    routes = adapter.toRoutes(version, content);
-    log.write("configurationInForce", node.nodeId(), "version=" + version);
-  }
-
   /**
    * Passes news on to every host, before any further order to it: a host in an evacuated zone
    * refuses, also where it reaches no control replica itself.
@@ -317,10 +305,13 @@
     public void onDirectory(PeerDirectory directory) {}
 
     @Override
-    public void onDocument(DocumentUpdate update) {
-      if (update.name().equals(CONFIGURATION)) {
-        takeRoutes(update.version(), update.content());
-      }
+    public void onNotice(String address, DocumentNotice notice) {
+      routes.onNotice(address, notice);
+    }
+
+    @Override
+    public void onRoutes(String address, RoutesPart part) {
+      routes.onPart(address, part);
     }
 
     @Override
@@ -331,6 +322,9 @@
     @Override
     public void onControl(String address, boolean found) {
       log.write(found ? "controlFound" : "controlLost", address, "");
+      if (!found) {
+        routes.onLost(address);
+      }
     }
   }
 
--- a/daemon/src/main/java/io/hingehoist/quorum/ClientRequests.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ClientRequests.java
@@ -5,9 +5,11 @@
 import io.hingehoist.command.DocumentVersion;
 import io.hingehoist.command.FindJob;
 import io.hingehoist.command.GetDocument;
+import io.hingehoist.command.GetDocumentVersion;
 import io.hingehoist.command.GetJob;
 import io.hingehoist.command.GetReport;
 import io.hingehoist.command.JobRecord;
+import io.hingehoist.command.NewestVersion;
 import io.hingehoist.command.NoSuchJob;
 import io.hingehoist.command.Query;
 import io.hingehoist.command.QueryAnswer;
@@ -25,6 +27,7 @@
 import io.hingehoist.message.ReplyStatus;
 import io.hingehoist.message.Role;
 import io.hingehoist.replication.Replica;
+import io.hingehoist.state.DocumentRow;
 import io.hingehoist.state.JobRow;
 import io.hingehoist.wire.MessageSink;
 import java.io.IOException;
@@ -206,6 +209,10 @@
           send(client, request.requestId(), record(state.get().job(get.jobId()), true));
       case FindJob find -> answer(client, request.requestId(), find, nowMs);
       case GetDocument get -> send(client, request.requestId(), version(get.name()));
+      case GetDocumentVersion get -> {
+        long newest = state.get().document(get.name()).map(DocumentRow::version).orElse(0L);
+        send(client, request.requestId(), new NewestVersion(newest));
+      }
       case GetReport get ->
           send(
               client,
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -34,6 +34,7 @@
 import io.hingehoist.message.QueryRequest;
 import io.hingehoist.message.ReplyStatus;
 import io.hingehoist.message.Role;
+import io.hingehoist.message.RoutesRequest;
 import io.hingehoist.message.SnapshotAck;
 import io.hingehoist.message.SnapshotChunk;
 import io.hingehoist.message.VoteRequest;
@@ -96,6 +97,7 @@
   private final ClientRequests requests;
   private final ReplicaLinks links;
   private final Discovery discovery;
+  private final Optional<RouteFeed> routeFeed;
   private final boolean discovers;
   private final int voterCount;
   private final InboxLoop<ControlEvent> loop;
@@ -119,8 +121,10 @@
       Journal journal,
       Metrics metrics,
       ThreadFactory threads,
+      Optional<RouteFeed> routeFeed,
       Consumer<Throwable> fatal)
       throws IOException {
+    this.routeFeed = routeFeed;
     this.settings = settings;
     this.journal = journal;
     // After a failed sync nothing is known of the disk: going on could break a promise.
@@ -133,6 +137,7 @@
     this.state = ControlState.fromBytes(snapshot.state());
     this.appliedIndex = snapshot.lastIndex();
     this.snapshotIndex = snapshot.lastIndex();
+    this.documentsChanged = true;
     this.replica =
         Replica.create(
             journal.identity().replicaId(),
@@ -173,6 +178,7 @@
   /**
    * Starts a replica on the state that its data folder holds.
    *
+   * @param routeFeed tells owners of routes, where documents hold them
    * @param fatal gets the error after which this process must not go on
    * @throws IOException if the data folder is damaged or the address can't be opened
    */
@@ -182,10 +188,12 @@
       Disk disk,
       Metrics metrics,
       ThreadFactory threads,
+      Optional<RouteFeed> routeFeed,
       Consumer<Throwable> fatal)
       throws IOException {
     Journal journal = Journal.open(Path.of(node.dataFolder()), disk, metrics);
-    ControlNode control = new ControlNode(node, settings, journal, metrics, threads, fatal);
+    ControlNode control =
+        new ControlNode(node, settings, journal, metrics, threads, routeFeed, fatal);
     control.loop.start();
     if (!settings.platformList().isEmpty()) {
       control.platformThread.start();
@@ -421,7 +429,7 @@
   private void publishDocuments() {
     if (documentsChanged) {
       documentsChanged = false;
-      state.documents().forEach(discovery::publish);
+      state.documents().forEach(this::publish);
     }
     Optional<EvacuatedZones> zones = knownZones();
     if (zones.isPresent() && zones.get().version() != publishedZonesVersion) {
@@ -430,6 +438,11 @@
     }
   }
 
+  private void publish(DocumentRow row) {
+    routeFeed.ifPresent(feed -> feed.onDocument(row.name(), row.version(), row.content()));
+    discovery.publish(row);
+  }
+
   /** A replica with an empty log, whose disk was lost perhaps, knows nothing of the zones. */
   private Optional<EvacuatedZones> knownZones() {
     return appliedIndex == 0 ? Optional.empty() : Optional.of(state.evacuatedZones());
@@ -601,6 +614,8 @@
         greet(connection, message);
       } else if (message instanceof Announce announce) {
         loop.add(new ControlEvent.Announced(connection, announce));
+      } else if (message instanceof RoutesRequest request) {
+        routeFeed.ifPresent(feed -> feed.onRequest(connection, request));
       } else if (hello.role() == Role.CONTROL && isFromReplica(message)) {
         loop.add(new ControlEvent.FromReplica(message));
       } else if (hello.role() != Role.CONTROL && isFromClient(message)) {
--- a/daemon/src/main/java/io/hingehoist/quorum/Discovery.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/Discovery.java
@@ -3,7 +3,7 @@
 import io.hingehoist.directory.PeerDirectory;
 import io.hingehoist.message.Announce;
 import io.hingehoist.message.Directory;
-import io.hingehoist.message.DocumentUpdate;
+import io.hingehoist.message.DocumentNotice;
 import io.hingehoist.message.EvacuatedZones;
 import io.hingehoist.message.Peer;
 import io.hingehoist.message.Role;
@@ -63,7 +63,7 @@
 
   private static void send(DocumentRow row, MessageSink follower, Role role) {
     if (role == Role.ENTRY) {
-      follower.send(new DocumentUpdate(row.name(), row.version(), row.content()));
+      follower.send(new DocumentNotice(row.name(), row.version()));
     }
   }
 
@@ -84,7 +84,7 @@
     return directory.peers(Role.CONTROL).stream().map(Peer::address).toList();
   }
 
-  /** Brings a committed document to those that follow. */
+  /** Tells those that follow which version of a document was committed. */
   void publish(DocumentRow row) {
     followers.forEach((follower, role) -> send(row, follower, role));
   }
--- a/daemon/src/test/java/io/hingehoist/quorum/FiveReplicasTest.java
+++ b/daemon/src/test/java/io/hingehoist/quorum/FiveReplicasTest.java
@@ -134,6 +134,7 @@
                 Disk.real(),
                 Metrics.create(),
                 Thread.ofVirtual().factory(),
+                Optional.empty(),
                 Throwable::printStackTrace)));
   }
 
--- a/daemon/src/test/java/io/hingehoist/quorum/LargeDocumentTest.java
+++ b/daemon/src/test/java/io/hingehoist/quorum/LargeDocumentTest.java
@@ -27,6 +27,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -83,6 +84,7 @@
             Disk.real(),
             Metrics.create(),
             Thread.ofVirtual().factory(),
+            Optional.empty(),
             Throwable::printStackTrace);
   }
 
