--- a/core/src/main/java/io/hingehoist/run/host/HoldAnswer.java
+++ b/core/src/main/java/io/hingehoist/run/host/HoldAnswer.java
@@ -21,9 +21,18 @@
    */
   record Running(RunRef run, int percent) {}
 
-  /** The runs that go on, and the ends after the one that was last taken note of. */
-  record Listed(long workerClockMs, List<Running> running, List<Ended> ended)
+  /**
+   * The runs that go on, and the ends after the one that was last taken note of.
+   *
+   * @param bornMs when the life began that lists them; 0 where workers don't tell
+   */
+  record Listed(long workerClockMs, long bornMs, List<Running> running, List<Ended> ended)
       implements HoldAnswer {
+    /** Creates the list of a worker that does not tell when its life began. */
+    public Listed(long workerClockMs, List<Running> running, List<Ended> ended) {
+      this(workerClockMs, 0, running, ended);
+    }
+
 
     /** Copies the lists. */
     public Listed {
--- a/core/src/main/java/io/hingehoist/run/host/RunOrders.java
+++ b/core/src/main/java/io/hingehoist/run/host/RunOrders.java
@@ -116,6 +116,7 @@
     outbox.add(
         new HostEffect.CallStart(
             life.id(),
+            life.info().workerId(),
             life.info().address(),
             run.run,
             run.spec,
@@ -244,9 +245,14 @@
   }
 
   private void sendStop(WorkerLife life, RunRef run, int lostInARow) {
-    String address = life.info().address();
-    HostEffect.Patience patience = patience(life, lostInARow, 0);
-    outbox.add(new HostEffect.CallStop(life.id(), address, run, token.value(), patience));
+    outbox.add(
+        new HostEffect.CallStop(
+            life.id(),
+            life.info().workerId(),
+            life.info().address(),
+            run,
+            token.value(),
+            patience(life, lostInARow, 0)));
   }
 
   /** Stops a run that an earlier life of this host, or a late order, left behind. */
--- a/core/src/main/java/io/hingehoist/run/host/WorkerLists.java
+++ b/core/src/main/java/io/hingehoist/run/host/WorkerLists.java
@@ -75,6 +75,7 @@
     outbox.add(
         new HostEffect.CallHold(
             life.id(),
+            life.info().workerId(),
             life.info().address(),
             deadlineMs,
             token.value(),
--- /dev/null
+++ b/core/src/test/java/io/hingehoist/run/host/WorkerBirthTest.java
@@ -0,0 +1,218 @@
+package io.hingehoist.run.host;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.hingehoist.message.HostRows;
+import io.hingehoist.message.Message;
+import io.hingehoist.message.Room;
+import io.hingehoist.message.RunEnd;
+import io.hingehoist.message.RunEnded;
+import io.hingehoist.message.RunRef;
+import io.hingehoist.message.StartRuns;
+import io.hingehoist.message.WorkerState;
+import io.hingehoist.run.RunTiming;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * A worker crashes and starts again under its name, at its address: it holds nothing of before, and
+ * its counts begin anew. A host that knows lives by their names only passes over its heartbeats as
+ * older ones, and takes its first ends for ends that it has seen.
+ */
+public final class WorkerBirthTest {
+  private static final RunTiming TIMING = RunTiming.of(1_300, 1_000, 50);
+  private static final Room CAPACITY = new Room(4_000, 1_000, 0);
+  private static final Room NEED = new Room(1_000, 10, 0);
+  private static final long SESSION = 7;
+  private static final long BORN_MS = 1_700_000_000_000L;
+  private static final long AGAIN_MS = BORN_MS + 5_000;
+
+  private final List<HostEffect> effects = new ArrayList<>();
+  private WorkerHost host;
+  private long order;
+
+  private static WorkerInfo account(long bornMs, boolean draining, long version) {
+    return new WorkerInfo(
+        "w", "s", "10.0.0.1:1", "z", draining, CAPACITY, List.of(), version, 500, bornMs);
+  }
+
+  private static String life(long bornMs) {
+    return account(bornMs, false, 1).lifeId();
+  }
+
+  private static RunRef run(int index) {
+    return new RunRef("j.0." + index, 1);
+  }
+
+  @BeforeMethod
+  public void open() {
+    long quietMs = TIMING.workerOverAfterMs();
+    host = KnownZones.none(WorkerHost.create("h", 1, "z", TIMING, 100, 1_000 - quietMs));
+    host.workerSeen(account(BORN_MS, false, 40), 1_000);
+    host.sessionBegan(SESSION, "o", 1_000);
+    list(BORN_MS, 1_000, List.of());
+  }
+
+  private void settle(long nowMs) {
+    host.showRows(nowMs);
+    effects.clear();
+    effects.addAll(host.takeEffects());
+  }
+
+  private <E extends HostEffect> List<E> all(Class<E> type) {
+    return effects.stream().filter(type::isInstance).map(type::cast).toList();
+  }
+
+  private <M extends Message> List<M> told(Class<M> type) {
+    return all(HostEffect.ToOwner.class).stream()
+        .map(HostEffect.ToOwner::message)
+        .filter(type::isInstance)
+        .map(type::cast)
+        .toList();
+  }
+
+  private void list(long bornMs, long nowMs, List<RunRef> running, HoldAnswer.Ended... ended) {
+    answer(bornMs, bornMs, nowMs, running, ended);
+  }
+
+  /** Answers a call that was meant for one life as another. */
+  private void answer(
+      long meantMs, long bornMs, long nowMs, List<RunRef> running, HoldAnswer.Ended... ended) {
+    List<HoldAnswer.Running> rows =
+        running.stream().map(run -> new HoldAnswer.Running(run, 0)).toList();
+    host.holdAnswered(
+        life(meantMs), new HoldAnswer.Listed(500, bornMs, rows, List.of(ended)), nowMs);
+    settle(nowMs);
+  }
+
+  private void order(long bornMs, long nowMs, RunRef... runs) {
+    host.startRuns(
+        SESSION, new StartRuns(++order, life(bornMs), "j", "", 100, NEED, List.of(runs)), nowMs);
+    settle(nowMs);
+  }
+
+  private void start(long bornMs, long nowMs, RunRef run) {
+    order(bornMs, nowMs, run);
+    host.startAnswered(life(bornMs), run, new StartAnswer.Started(501), nowMs);
+  }
+
+  private void bornAgain(long nowMs) {
+    host.workerSeen(account(AGAIN_MS, false, 1), nowMs);
+    settle(nowMs);
+  }
+
+  @Test
+  public void itsFirstHeartbeatEndsTheRunsOfTheEarlierLife() {
+    start(BORN_MS, 1_010, run(0));
+    bornAgain(1_100);
+    assertEquals(told(RunEnded.class).getFirst().end(), RunEnd.LOST);
+    assertEquals(host.workerCount(), 1);
+    HostEffect.CallHold hold = all(HostEffect.CallHold.class).getFirst();
+    assertEquals(hold.workerId(), "w");
+    assertEquals(hold.lastSeen(), 0);
+  }
+
+  @Test
+  public void itsFirstEndsAreNotTakenForOnesThatWereSeen() {
+    list(BORN_MS, 1_005, List.of(), new HoldAnswer.Ended(57, run(9), RunEnd.DONE));
+    bornAgain(1_100);
+    list(AGAIN_MS, 1_101, List.of());
+    start(AGAIN_MS, 1_110, run(0));
+    list(AGAIN_MS, 1_150, List.of(), new HoldAnswer.Ended(1, run(0), RunEnd.DONE));
+    assertEquals(told(RunEnded.class).getFirst().end(), RunEnd.DONE);
+  }
+
+  @Test
+  public void aLateHeartbeatOfTheEarlierLifeIsVoid() {
+    bornAgain(1_100);
+    list(AGAIN_MS, 1_101, List.of());
+    start(AGAIN_MS, 1_110, run(0));
+    host.workerSeen(account(BORN_MS, true, 41), 1_120);
+    settle(1_120);
+    assertEquals(told(RunEnded.class), List.of());
+    order(AGAIN_MS, 1_121, run(1));
+    assertEquals(all(HostEffect.CallStart.class).size(), 1);
+  }
+
+  @Test
+  public void aHeartbeatThatTellsNoBirthIsOfAnotherWriter() {
+    host.workerSeen(account(0, true, 99), 1_010);
+    settle(1_010);
+    order(BORN_MS, 1_011, run(0));
+    assertEquals(all(HostEffect.CallStart.class).size(), 1);
+  }
+
+  @Test
+  public void aListOfTheLaterLifeEndsTheRunsOfTheEarlier() {
+    start(BORN_MS, 1_010, run(0));
+    answer(BORN_MS, AGAIN_MS, 1_040, List.of());
+    assertEquals(told(RunEnded.class).getFirst().end(), RunEnd.LOST);
+    assertEquals(host.workerCount(), 1);
+    order(AGAIN_MS, 1_050, run(1));
+    assertEquals(all(HostEffect.CallStart.class).size(), 1);
+  }
+
+  @Test
+  public void anOrderWithoutAnAnswerIsBarredAtTheLaterLifeBeforeItIsOver() {
+    order(BORN_MS, 1_010, run(0));
+    long before = all(HostEffect.CallStart.class).getFirst().token();
+    answer(BORN_MS, AGAIN_MS, 1_040, List.of());
+    assertEquals(told(RunEnded.class), List.of());
+    HostEffect.CallStop stop = all(HostEffect.CallStop.class).getFirst();
+    assertEquals(stop.lifeId(), life(AGAIN_MS));
+    assertTrue(stop.token() > before, "an order of before must be refused by its token");
+    host.stopAnswered(life(AGAIN_MS), run(0), true, 1_045);
+    settle(1_045);
+    list(AGAIN_MS, 1_046, List.of());
+    host.onTick(1_100);
+    settle(1_100);
+    list(AGAIN_MS, 1_101, List.of());
+    list(AGAIN_MS, 1_110, List.of());
+    assertEquals(told(RunEnded.class).size(), 1);
+  }
+
+  @Test
+  public void whatTheLaterLifeRunsOnAnEarlierOrderIsStopped() {
+    order(BORN_MS, 1_010, run(0));
+    answer(BORN_MS, AGAIN_MS, 1_040, List.of(run(0)));
+    assertEquals(all(HostEffect.CallStop.class).getFirst().run(), run(0));
+    assertEquals(told(RunEnded.class), List.of());
+    list(AGAIN_MS, 1_090, List.of(), new HoldAnswer.Ended(1, run(0), RunEnd.STOPPED));
+    assertEquals(told(RunEnded.class).getFirst().end(), RunEnd.STOPPED);
+  }
+
+  @Test
+  public void itMayStartAgainTwiceWithinASecond() {
+    start(BORN_MS, 1_010, run(0));
+    bornAgain(1_100);
+    host.workerSeen(account(AGAIN_MS + 400, false, 1), 1_500);
+    settle(1_500);
+    host.workerSeen(account(AGAIN_MS, false, 2), 1_510);
+    settle(1_510);
+    assertEquals(host.workerCount(), 1);
+    list(AGAIN_MS + 400, 1_511, List.of());
+    order(AGAIN_MS + 400, 1_520, run(1));
+    assertEquals(all(HostEffect.CallStart.class).size(), 1);
+  }
+
+  @Test
+  public void aListThatTellsNoBirthIsNotTheWorkers() {
+    start(BORN_MS, 1_010, run(0));
+    answer(BORN_MS, 0, 1_040, List.of(), new HoldAnswer.Ended(1, run(0), RunEnd.DONE));
+    assertEquals(told(RunEnded.class), List.of());
+  }
+
+  @Test
+  public void ownersSeeTheLaterLifeAsAnotherWorker() {
+    bornAgain(1_100);
+    list(AGAIN_MS, 1_101, List.of());
+    host.sessionResumed(SESSION, 1_102);
+    settle(1_102);
+    var row = told(HostRows.class).getLast().workers().getFirst();
+    assertEquals(row.workerId(), life(AGAIN_MS));
+    assertEquals(row.state(), WorkerState.READY);
+  }
+}
--- a/daemon/src/main/java/io/hingehoist/host/HostNode.java
+++ b/daemon/src/main/java/io/hingehoist/host/HostNode.java
@@ -178,15 +178,15 @@
   }
 
   private void started(HostEffect.CallStart call, StartAnswer answer) {
-    host.startAnswered(call.workerId(), call.run(), answer, EventLoop.nowMs());
+    host.startAnswered(call.lifeId(), call.run(), answer, EventLoop.nowMs());
   }
 
   private void stopped(HostEffect.CallStop call, boolean answered) {
-    host.stopAnswered(call.workerId(), call.run(), answered, EventLoop.nowMs());
+    host.stopAnswered(call.lifeId(), call.run(), answered, EventLoop.nowMs());
   }
 
   private void listed(HostEffect.CallHold call, HoldAnswer answer) {
-    host.holdAnswered(call.workerId(), answer, EventLoop.nowMs());
+    host.holdAnswered(call.lifeId(), answer, EventLoop.nowMs());
   }
 
   // What workers, owners and control replicas say.
