A life of a worker is known by its name and its birth

Cause: a worker may start again under its name with its counts anew; its heartbeats were passed over as older ones and its first ends as seen ones.

Change: heartbeats and lists carry the birth (a whole number; without one it is another writer's, once the worker told one). Owners know a life as name@birth. A later life takes the place of the earlier at its first heartbeat or list; what ran is over, an order without an answer is barred there first, and the token rises so that late orders of before are refused. One new test was made stricter on the way: room is given out only after a list that brought the higher token.

--- a/core/src/main/java/io/hingehoist/run/host/HoldAnswer.java
+++ b/core/src/main/java/io/hingehoist/run/host/HoldAnswer.java
@@ -33,7 +33,6 @@
       this(workerClockMs, 0, running, ended);
     }
 
-
     /** Copies the lists. */
     public Listed {
       running = List.copyOf(running);
--- a/core/src/main/java/io/hingehoist/run/host/HostEffect.java
+++ b/core/src/main/java/io/hingehoist/run/host/HostEffect.java
@@ -8,13 +8,15 @@
 public sealed interface HostEffect {
 
   /**
-   * Orders a run at a worker, by its name and that of the life that is meant; the answer comes back by {@link WorkerHost#startAnswered}.
+   * Orders a run at a worker, by its name and that of the life that is meant; the answer comes back
+   * by {@link WorkerHost#startAnswered}.
    *
    * @param deadlineMs the end of the worker's lease, by the worker's clock
    * @param patience when the call counts as lost
    */
   record CallStart(
-      String lifeId,String workerId,
+      String lifeId,
+      String workerId,
       String address,
       RunRef run,
       String spec,
@@ -28,7 +30,8 @@
    *
    * @param patience when the call counts as lost
    */
-  record CallStop(String lifeId,String workerId, String address, RunRef run, long token, Patience patience)
+  record CallStop(
+      String lifeId, String workerId, String address, RunRef run, long token, Patience patience)
       implements HostEffect {}
 
   /**
@@ -41,7 +44,8 @@
    * @param patience when the call counts as lost, the wait included
    */
   record CallHold(
-      String lifeId,String workerId,
+      String lifeId,
+      String workerId,
       String address,
       long deadlineMs,
       long token,
--- a/core/src/main/java/io/hingehoist/run/host/HostedRun.java
+++ b/core/src/main/java/io/hingehoist/run/host/HostedRun.java
@@ -42,4 +42,9 @@
     this.sessionId = sessionId;
     this.orderedAtMs = nowMs;
   }
+
+  /** Returns whether an order of it may be on its way: nothing was answered since. */
+  boolean mayComeLate() {
+    return state == State.ORDERED || state == State.STOPPING;
+  }
 }
--- a/core/src/main/java/io/hingehoist/run/host/RunOrders.java
+++ b/core/src/main/java/io/hingehoist/run/host/RunOrders.java
@@ -295,6 +295,26 @@
     outbox.add(new HostEffect.ForgetAddress(life.info().address()));
   }
 
+  /**
+   * Takes it that a worker has started again under its name, at the same address. What ran in the
+   * former life is over; an order that had no answer yet may be carried out by the later one, so it
+   * is barred there before the task may start elsewhere.
+   */
+  void startedAgain(WorkerLife former, WorkerLife later, long nowMs) {
+    lives.remove(former);
+    outbox.note("workerStartedAgain", "", later.id(), "former=" + former.id());
+    for (HostedRun run : former.runs()) {
+      if (run.mayComeLate()) {
+        former.remove(run);
+        later.add(run);
+        run.state = HostedRun.State.STOPPING;
+        callStop(later, run, nowMs);
+      } else {
+        over(former, run, RunEnd.LOST);
+      }
+    }
+  }
+
   /** Takes it that a run is over without having been of use. */
   void over(WorkerLife life, HostedRun run, RunEnd how) {
     over(life, run, how, run.orderedAtMs);
--- a/core/src/main/java/io/hingehoist/run/host/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/host/WorkerHost.java
@@ -38,7 +38,7 @@
     RoomSharing sharing = new RoomSharing(sessions);
     this.gate = new StartGate(zone);
     this.orders = new RunOrders(hostId, lives, sessions, gate, token, outbox);
-    this.lists = new WorkerLists(timing, token, orders, sharing, outbox);
+    this.lists = new WorkerLists(timing, lives, token, orders, sharing, outbox);
     this.register = new WorkerRegister(timing, lives, orders, lists, outbox);
     this.owners =
         new OwnerDesk(
@@ -73,9 +73,9 @@
   }
 
   /** Takes what became of a start. */
-  public void startAnswered(String workerId, RunRef run, StartAnswer answer, long nowMs) {
+  public void startAnswered(String lifeId, RunRef run, StartAnswer answer, long nowMs) {
     lives
-        .find(workerId)
+        .find(lifeId)
         .ifPresent(
             life ->
                 life.find(run)
@@ -87,9 +87,9 @@
    *
    * @param answered whether the worker said that it was carried out
    */
-  public void stopAnswered(String workerId, RunRef run, boolean answered, long nowMs) {
+  public void stopAnswered(String lifeId, RunRef run, boolean answered, long nowMs) {
     lives
-        .find(workerId)
+        .find(lifeId)
         .ifPresent(
             life ->
                 life.find(run)
@@ -97,9 +97,9 @@
   }
 
   /** Takes a worker's list of its runs. */
-  public void holdAnswered(String workerId, HoldAnswer answer, long nowMs) {
-    if (!register.claimAnswered(workerId, answer, nowMs)) {
-      lives.find(workerId).ifPresent(life -> lists.answered(life, answer, nowMs));
+  public void holdAnswered(String lifeId, HoldAnswer answer, long nowMs) {
+    if (!register.claimAnswered(lifeId, answer, nowMs)) {
+      lives.find(lifeId).ifPresent(life -> lists.answered(life, answer, nowMs));
     }
   }
 
--- a/core/src/main/java/io/hingehoist/run/host/WorkerInfo.java
+++ b/core/src/main/java/io/hingehoist/run/host/WorkerInfo.java
@@ -40,8 +40,7 @@
       List<String> labels,
       long version,
       long clockMs) {
-    this(
-        workerId, service, address, zone, draining, capacity, labels, version, clockMs, 0);
+    this(workerId, service, address, zone, draining, capacity, labels, version, clockMs, 0);
   }
 
   /** Returns the name of this life, which no other life of any worker has. */
@@ -55,7 +54,9 @@
         workerId, service, address, zone, true, capacity, labels, version, clockMs, bornMs);
   }
 
-  /** Returns the first account of a later life of the same worker, of which nothing else is known. */
+  /**
+   * Returns the first account of a later life of the same worker, of which nothing else is known.
+   */
   WorkerInfo asBornAgain(long laterBornMs) {
     return new WorkerInfo(
         workerId, service, address, zone, false, capacity, labels, 0, 0, laterBornMs);
--- a/core/src/main/java/io/hingehoist/run/host/WorkerLife.java
+++ b/core/src/main/java/io/hingehoist/run/host/WorkerLife.java
@@ -55,8 +55,14 @@
     return info;
   }
 
+  /** Returns the name of this life, by which owners order runs as well. */
   String id() {
-    return info.workerId();
+    return info.lifeId();
+  }
+
+  /** Returns when this life began; 0 where workers don't tell. */
+  long bornMs() {
+    return info.bornMs();
   }
 
   /** Returns whether an account may be of this life, which keeps its service and its address. */
@@ -153,7 +159,7 @@
 
   WorkerRow toRow(Room free, boolean hostTakesNothing, long nowMs) {
     return new WorkerRow(
-        info.workerId(),
+        id(),
         info.service(),
         info.zone(),
         info.labels(),
--- a/core/src/main/java/io/hingehoist/run/host/WorkerLists.java
+++ b/core/src/main/java/io/hingehoist/run/host/WorkerLists.java
@@ -35,6 +35,7 @@
   private static final long QUICK_HOLD_MS = 2;
 
   private final RunTiming timing;
+  private final WorkerLives lives;
   private final FencingToken token;
   private final RunOrders orders;
   private final RoomSharing sharing;
@@ -42,11 +43,13 @@
 
   WorkerLists(
       RunTiming timing,
+      WorkerLives lives,
       FencingToken token,
       RunOrders orders,
       RoomSharing sharing,
       HostOutbox outbox) {
     this.timing = timing;
+    this.lives = lives;
     this.token = token;
     this.orders = orders;
     this.sharing = sharing;
@@ -108,7 +111,13 @@
   /** Takes a worker's list of its runs, or that none came. */
   void answered(WorkerLife life, HoldAnswer answer, long nowMs) {
     life.holdOpen = false;
+    if (answer instanceof HoldAnswer.Listed listed && listed.bornMs() > life.bornMs()) {
+      startedAgain(life, listed, nowMs);
+      return;
+    }
     switch (answer) {
+      // Another life, or whatever tells no birth, says nothing of this one.
+      case HoldAnswer.Listed listed when listed.bornMs() != life.bornMs() -> noteLost(life, nowMs);
       case HoldAnswer.Listed listed -> {
         boolean newEnds = takeList(life, listed, nowMs);
         boolean quick = !newEnds && nowMs - life.holdSentAtMs < QUICK_HOLD_MS;
@@ -129,6 +138,16 @@
     }
   }
 
+  /** Takes the list of a later life, which answered a call that was meant for an earlier one. */
+  private void startedAgain(WorkerLife former, HoldAnswer.Listed listed, long nowMs) {
+    WorkerInfo info = former.info().asBornAgain(listed.bornMs());
+    WorkerLife later = new WorkerLife(info, timing, nowMs);
+    orders.raiseToken();
+    lives.add(later);
+    orders.startedAgain(former, later, nowMs);
+    ask(later, nowMs);
+  }
+
   /** One lost call says nothing of the worker; to wait for the next would hide its ends. */
   private void noteLost(WorkerLife life, long nowMs) {
     life.lostHolds++;
--- a/core/src/main/java/io/hingehoist/run/host/WorkerRegister.java
+++ b/core/src/main/java/io/hingehoist/run/host/WorkerRegister.java
@@ -1,8 +1,10 @@
 package io.hingehoist.run.host;
 
+import io.hingehoist.message.Room;
 import io.hingehoist.run.RunTiming;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Which lives of workers a host believes in, from what they say of themselves. Owned by {@link
@@ -29,16 +31,43 @@
 
   /** Takes a worker's account of itself. */
   void seen(WorkerInfo info, long nowMs) {
-    WorkerLife known = lives.find(info.workerId()).orElse(null);
-    if (known == null) {
+    Optional<WorkerLife> known = lives.find(info.lifeId());
+    if (lives.isOfFormerLife(info)) {
+      ignore(info.lifeId(), "it is of a life that is over, or tells no birth");
+    } else if (known.isPresent()) {
+      knownSeen(known.get(), info);
+    } else if (lives.hasFormerLife(info)) {
+      bornAgain(info, nowMs);
+    } else {
       unknownSeen(new WorkerLife(info, timing, nowMs), nowMs);
-    } else if (!known.isSameAs(info)) {
-      ignore(info.workerId(), "it names another service or address");
-    } else if (known.update(info)) {
-      outbox.note("workerDraining", "", info.workerId(), "version=" + info.version());
     }
   }
 
+  private void knownSeen(WorkerLife known, WorkerInfo info) {
+    if (!known.isSameAs(info)) {
+      ignore(info.lifeId(), "it names another service or address");
+      return;
+    }
+    Room before = known.info().capacity();
+    if (known.update(info)) {
+      outbox.note("workerDraining", "", info.lifeId(), "version=" + info.version());
+    }
+    if (!known.info().capacity().equals(before)) {
+      String outcome = "before=%s now=%s".formatted(before, known.info().capacity());
+      outbox.note("workerRoomChanged", "", info.lifeId(), outcome);
+    }
+  }
+
+  /** A worker started again under its name: what it had of before is gone. */
+  private void bornAgain(WorkerInfo info, long nowMs) {
+    WorkerLife later = new WorkerLife(info, timing, nowMs);
+    Optional<WorkerLife> former = lives.ofWorker(info.workerId());
+    orders.raiseToken();
+    register(later);
+    former.ifPresent(life -> orders.startedAgain(life, later, nowMs));
+    lists.ask(later, nowMs);
+  }
+
   /**
    * A heartbeat may come late, when its sender has crashed and another life is at its address. So
    * one that names an address that is taken is believed only once that life answers a call.
@@ -62,8 +91,8 @@
   }
 
   /** Takes an answer of a life; returns whether it was one that is not believed in yet. */
-  boolean claimAnswered(String workerId, HoldAnswer answer, long nowMs) {
-    WorkerLife claim = claims.remove(workerId);
+  boolean claimAnswered(String lifeId, HoldAnswer answer, long nowMs) {
+    WorkerLife claim = claims.remove(lifeId);
     if (claim == null) {
       return false;
     }
@@ -93,7 +122,7 @@
   /** Notes that a worker takes its leave; what runs there is over when it stops answering. */
   void leaves(String workerId) {
     lives
-        .find(workerId)
+        .ofWorker(workerId)
         .ifPresent(
             life -> {
               life.update(life.info().asDraining());
--- a/core/src/test/java/io/hingehoist/run/host/WorkerBirthTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/WorkerBirthTest.java
@@ -151,7 +151,11 @@
     answer(BORN_MS, AGAIN_MS, 1_040, List.of());
     assertEquals(told(RunEnded.class).getFirst().end(), RunEnd.LOST);
     assertEquals(host.workerCount(), 1);
-    order(AGAIN_MS, 1_050, run(1));
+    // Only a list that brought the higher token shows that no order of before can still come.
+    order(AGAIN_MS, 1_041, run(1));
+    assertEquals(all(HostEffect.CallStart.class), List.of());
+    list(AGAIN_MS, 1_042, List.of());
+    order(AGAIN_MS, 1_050, run(2));
     assertEquals(all(HostEffect.CallStart.class).size(), 1);
   }
 
