--- a/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
@@ -7,6 +7,7 @@
 import io.hingehoist.message.RunRef;
 import io.hingehoist.message.RunRefusal;
 import io.hingehoist.message.StopRun;
+import io.hingehoist.message.WorkerCrashed;
 import io.hingehoist.run.JobEnd;
 import io.hingehoist.run.JobPlan;
 import io.hingehoist.run.RunTiming;
@@ -218,6 +219,9 @@
             });
   }
 
+  /** Takes a host's word of the tasks that were at a worker when it crashed. */
+  public void workerCrashed(WorkerCrashed news, long nowMs) {}
+
   /** Takes a host's word that a run did not start. */
   public void runNotStarted(String hostId, RunNotStarted report, long nowMs) {
     OwnedTask task = find(hostId, report.run());
