A task under which two workers crashed is given up, at any owner

Cause: a crash was an end like any other: the task was started again, with those that were there.

Change: a host tells every owner, and those that come later, which tasks were at its worker when it crashed (CrashLog); owners count (CrashEvidence): two crashes that speak against a task, or three of any kind, and its job ends failed, also where it is handed in anew. Tasks that were there are tried apart, at most one of them at a worker.

--- a/core/src/main/java/io/hingehoist/run/host/HostOutbox.java
+++ b/core/src/main/java/io/hingehoist/run/host/HostOutbox.java
@@ -26,6 +26,11 @@
     }
   }
 
+  /** Sends a message to every owner with an open session. */
+  void sendToAll(Message message) {
+    sessions.all().forEach(session -> send(session.id, message));
+  }
+
   /**
    * Writes a decision to the log.
    *
--- a/core/src/main/java/io/hingehoist/run/host/OwnerDesk.java
+++ b/core/src/main/java/io/hingehoist/run/host/OwnerDesk.java
@@ -60,6 +60,7 @@
     outbox.note("ownerFound", "", ownerId, "session=" + sessionId);
     session.formerRunsOver = isOverBefore(session, nowMs);
     outbox.send(sessionId, opened(session));
+    orders.tellCrashes(session, nowMs);
     show(session, nowMs);
   }
 
@@ -115,6 +116,7 @@
   void resumed(OwnerSession session, long nowMs) {
     String outcome = "beatAgeMs=" + session.lease.ageMs(nowMs);
     outbox.note("sessionResumed", "", session.ownerId, outcome);
+    orders.tellCrashes(session, nowMs);
     show(session, nowMs);
   }
 
--- a/core/src/main/java/io/hingehoist/run/host/RunOrders.java
+++ b/core/src/main/java/io/hingehoist/run/host/RunOrders.java
@@ -6,6 +6,7 @@
 import io.hingehoist.message.RunRef;
 import io.hingehoist.message.RunRefusal;
 import io.hingehoist.message.StartRuns;
+import io.hingehoist.message.WorkerCrashed;
 import io.hingehoist.message.WorkerState;
 import io.hingehoist.run.Rooms;
 import java.util.Optional;
@@ -34,6 +35,7 @@
   private final StartGate gate;
   private final FencingToken token;
   private final HostOutbox outbox;
+  private final CrashLog crashes = new CrashLog();
 
   RunOrders(
       String hostId,
@@ -156,7 +158,7 @@
         refuse(run.sessionId, run.run, life.id(), refused.reason());
       }
       case StartAnswer.Unanswered unanswered -> startUnanswered(life, run, nowMs);
-      case StartAnswer.Gone gone -> endLife(life, "start found it gone");
+      case StartAnswer.Gone gone -> endLife(life, "start found it gone", nowMs);
     }
   }
 
@@ -288,13 +290,30 @@
   // Ends.
 
   /** Takes it that a life of a worker is over, and all its runs with it. */
-  void endLife(WorkerLife life, String reason) {
+  void endLife(WorkerLife life, String reason, long nowMs) {
     lives.remove(life);
     outbox.note("workerGone", "", life.id(), "reason=" + reason);
+    noteCrash(life, nowMs);
     life.runs().forEach(run -> over(life, run, RunEnd.LOST));
     outbox.add(new HostEffect.ForgetAddress(life.info().address()));
   }
 
+  /** A worker that did not take its leave crashed, perhaps for one of its tasks. */
+  private void noteCrash(WorkerLife life, long nowMs) {
+    if (life.info().draining() || !life.hasRuns()) {
+      return;
+    }
+    WorkerCrashed news = crashes.note(life, nowMs);
+    String outcome = "again=%s tasks=%d".formatted(news.again(), news.tasks().size());
+    outbox.note("workerCrashed", news.tasks().getFirst(), life.id(), outcome);
+    outbox.sendToAll(news);
+  }
+
+  /** Tells an owner of the crashes that it may not have heard of. */
+  void tellCrashes(OwnerSession session, long nowMs) {
+    crashes.recent(nowMs).forEach(news -> outbox.send(session.id, news));
+  }
+
   /**
    * Takes it that a worker has started again under its name, at the same address. What ran in the
    * former life is over; an order that had no answer yet may be carried out by the later one, so it
@@ -303,6 +322,7 @@
   void startedAgain(WorkerLife former, WorkerLife later, long nowMs) {
     lives.remove(former);
     outbox.note("workerStartedAgain", "", later.id(), "former=" + former.id());
+    noteCrash(former, nowMs);
     for (HostedRun run : former.runs()) {
       if (run.mayComeLate()) {
         former.remove(run);
--- a/core/src/main/java/io/hingehoist/run/host/WorkerLists.java
+++ b/core/src/main/java/io/hingehoist/run/host/WorkerLists.java
@@ -129,7 +129,7 @@
       }
       case HoldAnswer.Unanswered unanswered -> noteLost(life, nowMs);
       case HoldAnswer.Gone gone -> {
-        orders.endLife(life, "hold found it gone");
+        orders.endLife(life, "hold found it gone", nowMs);
         return;
       }
     }
--- a/core/src/main/java/io/hingehoist/run/host/WorkerRegister.java
+++ b/core/src/main/java/io/hingehoist/run/host/WorkerRegister.java
@@ -106,15 +106,15 @@
   }
 
   private void replaceBy(WorkerLife claim, HoldAnswer answer, long nowMs) {
-    endLivesAt(claim.info().address());
+    endLivesAt(claim.info().address(), nowMs);
     register(claim);
     lists.answered(claim, answer, nowMs);
   }
 
-  private void endLivesAt(String address) {
+  private void endLivesAt(String address, long nowMs) {
     for (WorkerLife life : lives.all()) {
       if (life.info().address().equals(address)) {
-        orders.endLife(life, "replaced");
+        orders.endLife(life, "replaced", nowMs);
       }
     }
   }
--- a/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
@@ -11,6 +11,7 @@
 import io.hingehoist.run.JobEnd;
 import io.hingehoist.run.JobPlan;
 import io.hingehoist.run.RunTiming;
+import io.hingehoist.run.TaskNames;
 import io.hingehoist.run.load.Door;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -44,6 +45,7 @@
   private final Map<String, OwnedJob> jobs = new LinkedHashMap<>();
   private final Map<String, OwnedTask> active = new HashMap<>();
   private final OwnerOutbox outbox = new OwnerOutbox();
+  private final CrashEvidence crashes = new CrashEvidence();
   private long jobNumber;
   private long readyAtMs;
 
@@ -84,6 +86,7 @@
     jobs.put(plan.jobId(), job);
     placement.addAll(job.takeFreed());
     outbox.note("jobTaken", plan.jobId(), "", plan.queue(), "priority=" + plan.priority());
+    noteCrashes(job, nowMs);
     return true;
   }
 
@@ -220,7 +223,30 @@
   }
 
   /** Takes a host's word of the tasks that were at a worker when it crashed. */
-  public void workerCrashed(WorkerCrashed news, long nowMs) {}
+  public void workerCrashed(WorkerCrashed news, long nowMs) {
+    crashes.note(news, nowMs);
+    for (String name : news.tasks()) {
+      OwnedJob job = jobs.get(TaskNames.jobOf(name));
+      if (job != null) {
+        noteCrashes(job, nowMs);
+      }
+    }
+  }
+
+  /** Gives a job up if one of its tasks crashes workers; what is suspected is tried apart. */
+  private void noteCrashes(OwnedJob job, long nowMs) {
+    for (OwnedTask task : job.tasks()) {
+      if (crashes.isGivenUp(task.name(), nowMs)) {
+        int workers = crashes.countOf(task.name(), nowMs);
+        outbox.note("taskGivenUp", job.plan().jobId(), task.name(), "", "crashed=" + workers);
+        end(job, new JobEnd.Failed("task %s crashed %d workers".formatted(task.name(), workers)));
+        return;
+      }
+      if (crashes.isSuspect(task.name(), nowMs)) {
+        task.makeSuspect();
+      }
+    }
+  }
 
   /** Takes a host's word that a run did not start. */
   public void runNotStarted(String hostId, RunNotStarted report, long nowMs) {
@@ -229,7 +255,7 @@
       return;
     }
     task.job().noteNotStarted();
-    view(task).ifPresent(WorkerView::noteOver);
+    view(task).ifPresent(worker -> worker.noteNotStarted(task.name()));
     switch (report.reason()) {
       case ROOM, NOT_READY, ZONE_EVACUATED -> {}
       case OLD_NUMBER -> task.skipRunNumbers(NUMBER_STEP);
@@ -255,7 +281,7 @@
     if (task == null) {
       return;
     }
-    view(task).ifPresent(worker -> worker.noteEnd(task.plan().need()));
+    view(task).ifPresent(worker -> worker.noteEnd(task.name(), task.plan().need()));
     switch (report.end()) {
       case DONE -> done(task, report.ranMs(), nowMs);
       case FAILED -> failed(task);
--- a/core/src/main/java/io/hingehoist/run/owner/OwnedTask.java
+++ b/core/src/main/java/io/hingehoist/run/owner/OwnedTask.java
@@ -33,6 +33,7 @@
   private long orderedAtMs;
   private long uncertainUntilMs;
   private boolean stopSent;
+  private boolean suspect;
 
   OwnedTask(OwnedJob job, int step, int index) {
     this.job = job;
@@ -170,6 +171,15 @@
 
   // Failures.
 
+  /** Returns whether a worker crashed under it, so that it runs apart from others like it. */
+  boolean isSuspect() {
+    return suspect;
+  }
+
+  void makeSuspect() {
+    suspect = true;
+  }
+
   /** Notes a failure that says something of the task; returns how many there were. */
   int noteFailure() {
     return ++failures;
--- a/core/src/main/java/io/hingehoist/run/owner/PlacementPass.java
+++ b/core/src/main/java/io/hingehoist/run/owner/PlacementPass.java
@@ -88,6 +88,7 @@
   /** Returns whether a task may go where the last one of its step went, without a search. */
   private boolean isGoodBeside(WorkerView worker, OwnedTask task) {
     return lastPlaced.filter(task::isOfStepOf).isPresent()
+        && !task.isSuspect()
         && task.plan().near().isEmpty()
         && !worker.row().workerId().equals(task.avoidedWorkerId())
         && worker.shareLeft(task.plan().need()) >= TOGETHER_SPARE_SHARE
@@ -118,11 +119,13 @@
 
   /**
    * A task that may not share its worker with others of its step says nothing of other steps, nor
-   * does one that leaves a slow worker's room to those that have more time.
+   * does one under which a worker crashed, nor one that leaves a slow worker's room to those that
+   * have more time.
    */
   private void noteMiss(OwnedTask task) {
     StepPlan step = task.plan();
-    if (step.mostPerWorker() == 0 && !choice.waitsForFaster(task, all, leavesOut(task), nowMs)) {
+    boolean isLikeOthers = step.mostPerWorker() == 0 && !task.isSuspect();
+    if (isLikeOthers && !choice.waitsForFaster(task, all, leavesOut(task), nowMs)) {
       misses.add(new Miss(task.job().plan().service(), step.requires(), step.need()));
     }
   }
--- a/core/src/main/java/io/hingehoist/run/owner/RunPlacement.java
+++ b/core/src/main/java/io/hingehoist/run/owner/RunPlacement.java
@@ -106,7 +106,7 @@
     task.job().noteOrdered();
     onOrdered.accept(task);
     long order = batch.add(task, hosts.find(worker.hostId).orElseThrow());
-    worker.noteOrder(order, task.plan().need());
+    worker.noteOrder(order, task);
     return true;
   }
 
--- a/core/src/main/java/io/hingehoist/run/owner/WorkerChoice.java
+++ b/core/src/main/java/io/hingehoist/run/owner/WorkerChoice.java
@@ -105,6 +105,10 @@
     if (!Rooms.fits(step.need(), worker.free())) {
       return false;
     }
+    // Two at one worker could not be told apart if it crashed.
+    if (task.isSuspect() && worker.hasSuspect()) {
+      return false;
+    }
     if (!step.requires().isEmpty() && !worker.row().labels().contains(step.requires())) {
       return false;
     }
--- a/core/src/main/java/io/hingehoist/run/owner/WorkerView.java
+++ b/core/src/main/java/io/hingehoist/run/owner/WorkerView.java
@@ -5,7 +5,9 @@
 import io.hingehoist.message.WorkerState;
 import io.hingehoist.run.Rooms;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * One worker as an owner sees it: its host's last row, less the orders that the row does not know
@@ -27,6 +29,7 @@
 
   private long avoidedUntilMs;
   private int activeRuns;
+  private final Set<String> suspects = new HashSet<>();
 
   WorkerView(String hostId, WorkerRow row) {
     this.hostId = hostId;
@@ -51,23 +54,35 @@
     free = Rooms.minus(row.free(), unseenNeed);
   }
 
+  /** Returns whether a task of this owner is there under which a worker crashed before. */
+  boolean hasSuspect() {
+    return !suspects.isEmpty();
+  }
+
   int activeRuns() {
     return activeRuns;
   }
 
-  void noteOver() {
+  /** Notes that an order of a task came to nothing. */
+  void noteNotStarted(String task) {
     activeRuns--;
+    suspects.remove(task);
   }
 
-  void noteOrder(long order, Room need) {
+  void noteOrder(long order, OwnedTask task) {
+    Room need = task.plan().need();
     activeRuns++;
+    if (task.isSuspect()) {
+      suspects.add(task.name());
+    }
     unseen.add(new Unseen(order, need));
     unseenNeed = Rooms.plus(unseenNeed, need);
     free = Rooms.minus(free, need);
   }
 
-  void noteEnd(Room need) {
+  void noteEnd(String task, Room need) {
     activeRuns--;
+    suspects.remove(task);
     // A worker that is nearly full is shared out by its host, which may offer the room to another.
     if (!Rooms.isTight(row.free(), row.capacity())) {
       free = Rooms.plus(free, need);
--- a/core/src/test/java/io/hingehoist/run/PlayedRuns.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedRuns.java
@@ -12,6 +12,7 @@
 import io.hingehoist.message.SessionOpened;
 import io.hingehoist.message.StartRuns;
 import io.hingehoist.message.StopRun;
+import io.hingehoist.message.WorkerCrashed;
 import io.hingehoist.run.host.HoldAnswer;
 import io.hingehoist.run.host.HostEffect;
 import io.hingehoist.run.host.KnownZones;
@@ -335,6 +336,7 @@
                 box.id, opened.zone(), opened.hostIncarnation(), opened.formerRunsOver());
         case HostRows rows -> owner.jobs.hostRows(box.id, rows, nowMs);
         case RunEnded ended -> owner.jobs.runEnded(box.id, ended, nowMs);
+        case WorkerCrashed news -> owner.jobs.workerCrashed(news, nowMs);
         case RunNotStarted report -> owner.jobs.runNotStarted(box.id, report, nowMs);
         default -> throw new IllegalStateException("not for an owner: " + message);
       }
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -15,6 +15,7 @@
 import io.hingehoist.message.RunEnded;
 import io.hingehoist.message.RunNotStarted;
 import io.hingehoist.message.SessionOpened;
+import io.hingehoist.message.WorkerCrashed;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.net.ControlLinks;
 import io.hingehoist.net.EventLoop;
@@ -345,6 +346,7 @@
           metrics.noteTask(ended.end().name());
           jobs.runEnded(hostId, ended, now);
         }
+        case WorkerCrashed news -> jobs.workerCrashed(news, now);
         case RunNotStarted report -> jobs.runNotStarted(hostId, report, now);
         case EvacuatedZones heard -> learnZones(heard, hostId);
         default -> metrics.noteBadFrame();
