--- a/core/src/test/java/io/hingehoist/run/host/WorkerCrashTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/WorkerCrashTest.java
@@ -50,6 +50,7 @@
   }
 
   private void run(String worker, RunRef run, long nowMs) {
+    host.ownerBeat(1, nowMs, true, nowMs);
     host.startRuns(1, new StartRuns(++order, worker, "j", "", 100, NEED, List.of(run)), nowMs);
     host.startAnswered(worker, run, new StartAnswer.Started(501), nowMs);
     settle(nowMs);
