--- a/core/src/test/java/io/hingehoist/run/owner/JobOwnerTest.java
+++ b/core/src/test/java/io/hingehoist/run/owner/JobOwnerTest.java
@@ -494,4 +494,33 @@
     settle(owner, 200);
     assertEquals(started().size(), 1);
   }
+
+  /** Its caller waited until the time was up, for room that no worker has. */
+  @Test
+  public void aTaskThatFitsNoWorkerOfTheFleetIsRefusedAtOnce() {
+    JobOwner owner = ownerWith("h1", "h2");
+    owner.onTick(1);
+    owner.onTick(3_000);
+    settle(owner, 3_000);
+    StepPlan wide = StepPlan.of(1, new Room(3_000, 10, 0), 100);
+    owner.submit(plan("wide", 0, 2, wide), 3_010);
+    settle(owner, 3_010);
+    assertTrue(
+        effects.stream()
+            .anyMatch(
+                effect ->
+                    effect instanceof OwnerEffect.Answer answer
+                        && answer.end() instanceof JobEnd.Refused));
+  }
+
+  /** A process that has just started may know the small workers only. */
+  @Test
+  public void untilTheFleetIsKnownAWideTaskWaits() {
+    JobOwner owner = ownerWith("h1");
+    owner.onTick(1);
+    StepPlan wide = StepPlan.of(1, new Room(3_000, 10, 0), 100);
+    owner.submit(plan("wide", 0, 2, wide), 10);
+    settle(owner, 10);
+    assertEquals(owner.jobCount(), 1);
+  }
 }
