A box that slept believes its leases: tests that fail; a wide task is refused at once

A job with a task that fits no worker of the fleet, even an empty one, is refused at once (JobOwnerTest) once the fleet is known for 2 s; it waited until its time was up.

--- a/core/src/main/java/io/hingehoist/run/host/OwnerDesk.java
+++ b/core/src/main/java/io/hingehoist/run/host/OwnerDesk.java
@@ -104,6 +104,13 @@
     return session.runCount == 0 && session.lease.leftMs(nowMs) < RunTiming.BEAT_MS;
   }
 
+  /** Doubts every session. */
+  void doubtAll(long sleptMs, long nowMs) {}
+
+  void proven(OwnerSession session, long number, long nowMs) {}
+
+  void probed(OwnerSession session, long number) {}
+
   /** Takes an owner's word of what waits there for room. */
   void waiting(OwnerSession session, OwnerWaiting news, long nowMs) {
     session.takeWaiting(news.rows(), nowMs);
--- a/core/src/main/java/io/hingehoist/run/host/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/host/WorkerHost.java
@@ -180,6 +180,23 @@
     return gate.refusedForZoneCount();
   }
 
+  // Sleep.
+
+  /** Notes that this box may have slept: no lease of an owner is believed until it answers. */
+  public void mayHaveSlept(long sleptMs, long nowMs) {
+    owners.doubtAll(sleptMs, nowMs);
+  }
+
+  /** Takes an owner's proof that a session goes on. */
+  public void sessionProven(long sessionId, long number, long nowMs) {
+    sessions.find(sessionId).ifPresent(session -> owners.proven(session, number, nowMs));
+  }
+
+  /** Proves to an owner that its session goes on, if it does. */
+  public void sessionProbed(long sessionId, long number) {
+    sessions.find(sessionId).ifPresent(session -> owners.probed(session, number));
+  }
+
   // Time and rows.
 
   /** Does what the time has made due. */
--- a/core/src/main/java/io/hingehoist/run/load/Door.java
+++ b/core/src/main/java/io/hingehoist/run/load/Door.java
@@ -30,8 +30,26 @@
    */
   public record Refusal(String reason, long retryAfterMs) {}
 
+  /**
+   * How long workers must be known before a task counts as wider than all of them: a process that
+   * has just started meets its hosts within this time.
+   */
+  private static final long FLEET_KNOWN_AFTER_MS = 2_000;
+
   private Door() {}
 
+  /**
+   * Returns why a job is to be refused that has a task which fits no known worker, even an empty
+   * one; empty if the fleet is not known long enough to say so.
+   *
+   * @param fleetKnownForMs the time since a worker was first known
+   */
+  public static Optional<Refusal> refusalOfTooWide(long fleetKnownForMs) {
+    return fleetKnownForMs < FLEET_KNOWN_AFTER_MS
+        ? Optional.empty()
+        : Optional.of(new Refusal("wider than every worker", RETRY_AFTER_MS));
+  }
+
   /**
    * Returns why a job that was not started is to be refused now; empty if it may go on waiting.
    *
--- a/core/src/main/java/io/hingehoist/run/owner/HostViews.java
+++ b/core/src/main/java/io/hingehoist/run/owner/HostViews.java
@@ -1,5 +1,8 @@
 package io.hingehoist.run.owner;
 
+import io.hingehoist.run.JobPlan;
+import io.hingehoist.run.Rooms;
+import io.hingehoist.run.StepPlan;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -110,6 +113,26 @@
     return allViews;
   }
 
+  /** Returns whether workers of a job's service are known, and a task of it fits none of them. */
+  boolean isWiderThanAll(JobPlan plan) {
+    return plan.steps().stream().anyMatch(step -> isWiderThanAll(plan.service(), step));
+  }
+
+  private boolean isWiderThanAll(String service, StepPlan step) {
+    boolean known = false;
+    for (HostView host : hosts.values()) {
+      for (WorkerView worker : host.workers()) {
+        if (worker.row().service().equals(service)) {
+          known = true;
+          if (Rooms.fits(step.need(), worker.row().capacity())) {
+            return false;
+          }
+        }
+      }
+    }
+    return known;
+  }
+
   /** Returns whether a worker is known that takes runs. */
   boolean hasReadyWorker(long nowMs) {
     return hosts.values().stream()
--- a/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * The decisions of an owner: which run of which task is ordered at which worker, when a lost one
@@ -48,6 +49,7 @@
   private final CrashEvidence crashes = new CrashEvidence();
   private long jobNumber;
   private long readyAtMs;
+  private OptionalLong fleetKnownAtMs = OptionalLong.empty();
 
   private JobOwner(RunTiming timing, FollowedHosts followed) {
     this.timing = timing;
@@ -87,6 +89,7 @@
     placement.addAll(job.takeFreed());
     outbox.note("jobTaken", plan.jobId(), "", plan.queue(), "priority=" + plan.priority());
     noteCrashes(job, nowMs);
+    refuseIfTooWide(job, nowMs);
     return true;
   }
 
@@ -358,9 +361,13 @@
 
   /** Does what the time has made due. */
   public void onTick(long nowMs) {
-    if (readyAtMs == 0 || hasReadyWorker(nowMs)) {
+    boolean hasReadyWorker = hasReadyWorker(nowMs);
+    if (readyAtMs == 0 || hasReadyWorker) {
       readyAtMs = nowMs;
     }
+    if (hasReadyWorker && fleetKnownAtMs.isEmpty()) {
+      fleetKnownAtMs = OptionalLong.of(nowMs);
+    }
     for (OwnedTask task : List.copyOf(active.values())) {
       if (task.isProvablyOver(nowMs)) {
         requeue(task, "provablyOver");
@@ -381,7 +388,18 @@
     }
     long worthlessAfterMs = job.plan().worthlessAfterMs();
     Door.refusalOfUnbegun(job.waitedMs(nowMs), worthlessAfterMs, nowMs - readyAtMs)
-        .ifPresent(no -> end(job, new JobEnd.Refused(no.reason(), no.retryAfterMs())));
+        .ifPresentOrElse(no -> refuse(job, no), () -> refuseIfTooWide(job, nowMs));
+  }
+
+  /** Room that no worker has, even an empty one, will not become free. */
+  private void refuseIfTooWide(OwnedJob job, long nowMs) {
+    if (fleetKnownAtMs.isPresent() && hosts.isWiderThanAll(job.plan())) {
+      Door.refusalOfTooWide(nowMs - fleetKnownAtMs.getAsLong()).ifPresent(no -> refuse(job, no));
+    }
+  }
+
+  private void refuse(OwnedJob job, Door.Refusal refusal) {
+    end(job, new JobEnd.Refused(refusal.reason(), refusal.retryAfterMs()));
   }
 
   private void move(OwnedTask task) {
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/net/SleepWatch.java
@@ -0,0 +1,40 @@
+package io.hingehoist.net;
+
+/**
+ * Notices that this box may have been suspended: its steady clock stood meanwhile, and the time of
+ * day went on. The time of day may also have been set forward, so this is a doubt and not a proof;
+ * whoever holds a lease asks the other side, which costs one round trip. Owned by the event loop.
+ */
+public final class SleepWatch {
+  /** Far below any lease, and above what clocks of one box drift apart between two looks. */
+  private static final long MIN_SLEEP_MS = 100;
+
+  private long aheadMs;
+
+  private SleepWatch(long aheadMs) {
+    this.aheadMs = aheadMs;
+  }
+
+  /** Creates a watch that begins now. */
+  public static SleepWatch create() {
+    return at(EventLoop.nowMs(), System.currentTimeMillis());
+  }
+
+  /** Creates a watch that begins at times of both clocks. */
+  static SleepWatch at(long steadyMs, long timeOfDayMs) {
+    return new SleepWatch(timeOfDayMs - steadyMs);
+  }
+
+  /** Returns how long this box may have slept since the last call; 0 if it did not. */
+  public long sleptMs() {
+    return sleptMs(EventLoop.nowMs(), System.currentTimeMillis());
+  }
+
+  /** Returns the same by times of both clocks. */
+  long sleptMs(long steadyMs, long timeOfDayMs) {
+    long nowAheadMs = timeOfDayMs - steadyMs;
+    long jumpMs = nowAheadMs - aheadMs;
+    aheadMs = nowAheadMs;
+    return jumpMs >= MIN_SLEEP_MS ? jumpMs : 0;
+  }
+}
