A box that may have slept believes no lease until the other side answers

Cause: while a box is suspended its steady clock stands, so that leases that ran out seem fresh: a host would start what lies in its sockets, an owner would go on with jobs whose callers are elsewhere.

Change: a jump of the time of day against the steady clock is a doubt (SleepWatch). A host starts nothing and renews nothing on a session until its owner answers a probe, and closes it after 300 ms. An owner that may have slept as long as its lease holds everything back until a host with runs of it answers, else drops its jobs. Entries and agents drop their lease and void the heartbeats that are on their way.

--- a/core/src/main/java/io/hingehoist/dispatch/Dispatcher.java
+++ b/core/src/main/java/io/hingehoist/dispatch/Dispatcher.java
@@ -461,6 +461,11 @@
 
   // What others may see.
 
+  /** Drops the lease: this box may have slept, and the lease may be over. */
+  public void loseLease() {
+    leaseUntilMs = Long.MIN_VALUE;
+  }
+
   /** Returns whether a lease is fresh. */
   public boolean hasLease(long nowMs) {
     return nowMs < leaseUntilMs;
--- a/core/src/main/java/io/hingehoist/run/host/OwnerDesk.java
+++ b/core/src/main/java/io/hingehoist/run/host/OwnerDesk.java
@@ -3,6 +3,8 @@
 import io.hingehoist.message.HostRows;
 import io.hingehoist.message.OwnerWaiting;
 import io.hingehoist.message.SessionOpened;
+import io.hingehoist.message.SessionProbe;
+import io.hingehoist.message.SessionProof;
 import io.hingehoist.message.WorkerRow;
 import io.hingehoist.run.RunTiming;
 import java.util.List;
@@ -15,6 +17,9 @@
   /** An owner that was shown the workers so lately knows that its host lives. */
   private static final long SHOWN_LATELY_MS = 100;
 
+  /** Some round trips to an owner that is well; after it the owner's runs are stopped. */
+  private static final long PROOF_PATIENCE_MS = 300;
+
   private final String hostId;
   private final long incarnation;
   private final RunTiming timing;
@@ -26,6 +31,7 @@
   private final RoomSharing sharing;
   private final HostOutbox outbox;
   private final ShownRows shownRows = new ShownRows();
+  private long probeNumber;
 
   OwnerDesk(
       String hostId,
@@ -84,8 +90,12 @@
    * @param follows whether the owner is to be shown changes as they come
    */
   void beat(OwnerSession session, long sentAtMs, boolean follows, long nowMs) {
-    session.lease.onBeat(sentAtMs, nowMs);
     session.follows = follows;
+    if (session.isDoubted()) {
+      // It may have been on its way while this box slept.
+      return;
+    }
+    session.lease.onBeat(sentAtMs, nowMs);
     if (isUnusable(session, nowMs)) {
       close(session, "heartbeats come too late", nowMs);
       return;
@@ -104,12 +114,29 @@
     return session.runCount == 0 && session.lease.leftMs(nowMs) < RunTiming.BEAT_MS;
   }
 
-  /** Doubts every session. */
-  void doubtAll(long sleptMs, long nowMs) {}
+  /** Starts nothing on any session until its owner has answered a probe. */
+  void doubtAll(long sleptMs, long nowMs) {
+    outbox.note("mayHaveSlept", "", hostId, "ms=" + sleptMs);
+    for (OwnerSession session : sessions.all()) {
+      probeNumber++;
+      session.doubt(probeNumber, nowMs);
+      outbox.send(session.id, new SessionProbe(probeNumber));
+    }
+  }
 
-  void proven(OwnerSession session, long number, long nowMs) {}
+  /** Takes an owner's proof that a session goes on. */
+  void proven(OwnerSession session, long number, long nowMs) {
+    if (session.takeProof(number)) {
+      outbox.note("sessionProven", "", session.ownerId, "doubtedMs=" + session.doubtedMs(nowMs));
+    }
+  }
 
-  void probed(OwnerSession session, long number) {}
+  /** A host that may have slept itself proves nothing. */
+  void probed(OwnerSession session, long number) {
+    if (!session.isDoubted()) {
+      outbox.send(session.id, new SessionProof(number));
+    }
+  }
 
   /** Takes an owner's word of what waits there for room. */
   void waiting(OwnerSession session, OwnerWaiting news, long nowMs) {
@@ -157,7 +184,9 @@
   /** Closes the sessions whose leases are over. */
   void closeOver(long nowMs) {
     for (OwnerSession session : sessions.all()) {
-      if (isOver(session, nowMs)) {
+      if (session.isDoubted() && session.doubtedMs(nowMs) >= PROOF_PATIENCE_MS) {
+        close(session, "not proven after a sleep", nowMs);
+      } else if (isOver(session, nowMs)) {
         close(session, "lease over", nowMs);
       }
     }
--- a/core/src/main/java/io/hingehoist/run/host/OwnerSession.java
+++ b/core/src/main/java/io/hingehoist/run/host/OwnerSession.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /** A connection of an owner to a host. Owned by {@link WorkerHost}. */
 final class OwnerSession {
@@ -39,12 +40,43 @@
 
   long shownAtMs;
 
+  private OptionalLong probe = OptionalLong.empty();
+  private long doubtedSinceMs;
+
   OwnerSession(long id, String ownerId, LeaseClock lease) {
     this.id = id;
     this.ownerId = ownerId;
     this.lease = lease;
   }
 
+  /** Believes nothing of the lease until the owner answers a probe. */
+  void doubt(long number, long nowMs) {
+    probe = OptionalLong.of(number);
+    doubtedSinceMs = nowMs;
+  }
+
+  boolean isDoubted() {
+    return probe.isPresent();
+  }
+
+  long doubtedMs(long nowMs) {
+    return nowMs - doubtedSinceMs;
+  }
+
+  /** Takes an answer to a probe; returns whether it ends the doubt. */
+  boolean takeProof(long number) {
+    boolean proves = probe.isPresent() && probe.getAsLong() == number;
+    if (proves) {
+      probe = OptionalLong.empty();
+    }
+    return proves;
+  }
+
+  /** Returns whether runs of the owner may be started. */
+  boolean allowsStarts(long nowMs) {
+    return !isDoubted() && !lease.isOver(nowMs);
+  }
+
   /** Takes the owner's word of what waits there; it replaces what was known. */
   void takeWaiting(List<WaitingRow> rows, long nowMs) {
     waitingByService.clear();
--- a/core/src/main/java/io/hingehoist/run/host/RunOrders.java
+++ b/core/src/main/java/io/hingehoist/run/host/RunOrders.java
@@ -57,7 +57,7 @@
   /** Starts the runs of an order, as far as they may start. */
   void start(OwnerSession session, StartRuns order, long nowMs) {
     session.lastOrder = Math.max(session.lastOrder, order.order());
-    if (session.lease.isOver(nowMs)) {
+    if (!session.allowsStarts(nowMs)) {
       // A beat that is on its way may yet renew the lease, so the owner must hear of each run.
       order.runs().forEach(run -> refuse(session.id, run, order.workerId(), RunRefusal.NOT_READY));
       return;
@@ -192,7 +192,7 @@
   private boolean mayStart(HostedRun run, long nowMs) {
     return run.state == HostedRun.State.ORDERED
         && gate.isZoneOpen()
-        && sessions.find(run.sessionId).filter(s -> !s.lease.isOver(nowMs)).isPresent();
+        && sessions.find(run.sessionId).filter(s -> s.allowsStarts(nowMs)).isPresent();
   }
 
   private void repeatStart(WorkerLife life, HostedRun run, long nowMs) {
--- a/core/src/main/java/io/hingehoist/worker/TaskLedger.java
+++ b/core/src/main/java/io/hingehoist/worker/TaskLedger.java
@@ -111,6 +111,11 @@
     }
   }
 
+  /** Drops the lease: this box may have slept, and the lease may be over. */
+  public void loseLease() {
+    leaseUntilMs = Long.MIN_VALUE;
+  }
+
   /** Returns whether the lease is fresh. */
   public boolean hasLease(long nowMs) {
     return nowMs < leaseUntilMs;
--- a/daemon/src/main/java/io/hingehoist/agent/AgentNode.java
+++ b/daemon/src/main/java/io/hingehoist/agent/AgentNode.java
@@ -21,6 +21,7 @@
 import io.hingehoist.message.RunRequest;
 import io.hingehoist.message.StartTask;
 import io.hingehoist.metrics.Metrics;
+import io.hingehoist.net.SleepWatch;
 import io.hingehoist.settings.AgentSection;
 import io.hingehoist.settings.NodeSection;
 import io.hingehoist.wire.Addresses;
@@ -71,6 +72,8 @@
   private boolean registering;
   private boolean hadLease;
   private boolean stopping;
+  private final SleepWatch sleepWatch = SleepWatch.create();
+  private long sleeps;
 
   private AgentNode(
       NodeSection node,
@@ -119,10 +122,22 @@
   // The control thread.
 
   private void onBatch(List<Runnable> events, long nowMs) {
+    checkSleep();
     events.forEach(Runnable::run);
     onTick(nowMs);
   }
 
+  /** After a sleep only a heartbeat that was sent since brings a lease. */
+  private void checkSleep() {
+    long sleptMs = sleepWatch.sleptMs();
+    if (sleptMs > 0) {
+      LOG.infof("event=mayHaveSlept agent=%s ms=%d", node.nodeId(), sleptMs);
+      ledger.loseLease();
+      sleeps++;
+      heartbeatSentAtMs = 0;
+    }
+  }
+
   private void onTick(long now) {
     if (!heartbeatOpen && now - heartbeatSentAtMs >= HEARTBEAT_MS) {
       sendHeartbeat(now);
@@ -144,6 +159,7 @@
     heartbeatSentAtMs = now;
     heartbeatOpen = true;
     long incarnation = ledger.incarnation();
+    long sleepsBefore = sleeps;
     control
         .heartbeat(
             id ->
@@ -154,7 +170,7 @@
                 loop.add(
                     () -> {
                       heartbeatOpen = false;
-                      if (response != null) {
+                      if (response != null && sleeps == sleepsBefore) {
                         onHeartbeat(response, incarnation, now);
                       }
                     }));
--- a/daemon/src/main/java/io/hingehoist/entry/ControlSession.java
+++ b/daemon/src/main/java/io/hingehoist/entry/ControlSession.java
@@ -53,6 +53,7 @@
   private boolean open;
   private boolean registering;
   private boolean ended;
+  private long sleeps;
 
   ControlSession(
       String entryId,
@@ -87,6 +88,7 @@
     open = true;
     sentAtMs = nowMs;
     long sentIncarnation = incarnation;
+    long sleepsBefore = sleeps;
     // Without settings yet, a revision that nobody has makes the leader send the whole tree.
     long revision = hasSettings ? settings.revision() : -1;
     List<Long> owned = ownedJobIds.get();
@@ -107,17 +109,27 @@
                 dispatchThread.execute(
                     () -> {
                       open = false;
-                      if (response != null && !ended && sentIncarnation == incarnation) {
+                      if (response != null && isCurrent(sentIncarnation, sleepsBefore)) {
                         onResponse(response, nowMs);
                       }
                     }));
   }
 
+  /** Lets only a heartbeat that is sent from now on bring a lease: this box may have slept. */
+  void noteSleep() {
+    sleeps++;
+    sentAtMs = 0;
+  }
+
   /** Takes no new incarnation once this one is given up: the process is about to stop. */
   void end() {
     ended = true;
   }
 
+  private boolean isCurrent(long sentIncarnation, long sleepsBefore) {
+    return !ended && sentIncarnation == incarnation && sleepsBefore == sleeps;
+  }
+
   private void onResponse(HeartbeatResponse response, long requestSentAtMs) {
     response.settings().ifPresent(this::takeSettings);
     response.members().ifPresent(this::takeMembers);
--- a/daemon/src/main/java/io/hingehoist/entry/EntryNode.java
+++ b/daemon/src/main/java/io/hingehoist/entry/EntryNode.java
@@ -18,6 +18,7 @@
 import io.hingehoist.message.OwnedJob;
 import io.hingehoist.message.Role;
 import io.hingehoist.metrics.Metrics;
+import io.hingehoist.net.SleepWatch;
 import io.hingehoist.settings.EntrySection;
 import io.hingehoist.settings.NodeSection;
 import io.hingehoist.settings.ServicePolicy;
@@ -62,6 +63,7 @@
   private final InboxLoop<Runnable> loop;
   private long nextRequestId;
   private boolean hadLease;
+  private final SleepWatch sleepWatch = SleepWatch.create();
   private volatile boolean ready;
   private volatile boolean leaving;
   private volatile boolean refusing;
@@ -134,10 +136,21 @@
   // The dispatch thread.
 
   private void onBatch(List<Runnable> events, long nowMs) {
+    checkSleep();
     events.forEach(Runnable::run);
     onTick(nowMs);
   }
 
+  /** After a sleep only a heartbeat that was sent since brings a lease. */
+  private void checkSleep() {
+    long sleptMs = sleepWatch.sleptMs();
+    if (sleptMs > 0) {
+      LOG.infof("event=mayHaveSlept entry=%s ms=%d", node.nodeId(), sleptMs);
+      dispatcher.loseLease();
+      session.noteSleep();
+    }
+  }
+
   private void onTick(long now) {
     session.onTick(now);
     carryOut(dispatcher.onTick(now));
--- a/daemon/src/main/java/io/hingehoist/host/HostNode.java
+++ b/daemon/src/main/java/io/hingehoist/host/HostNode.java
@@ -16,6 +16,8 @@
 import io.hingehoist.message.Peer;
 import io.hingehoist.message.Role;
 import io.hingehoist.message.RoutesPart;
+import io.hingehoist.message.SessionProbe;
+import io.hingehoist.message.SessionProof;
 import io.hingehoist.message.StartRuns;
 import io.hingehoist.message.StopRun;
 import io.hingehoist.metrics.Metrics;
@@ -26,6 +28,7 @@
 import io.hingehoist.net.PeerHandler;
 import io.hingehoist.net.PeerServer;
 import io.hingehoist.net.PlannedStop;
+import io.hingehoist.net.SleepWatch;
 import io.hingehoist.net.ZoneGauges;
 import io.hingehoist.quorum.ControlAddresses;
 import io.hingehoist.run.RunTiming;
@@ -60,6 +63,7 @@
   private final OwnerLinks owners;
   private final PeerServer peers;
   private final PlannedStop stop;
+  private final SleepWatch sleepWatch = SleepWatch.create();
   private final Set<String> ignoredNoted = new HashSet<>();
 
   private HostNode(
@@ -131,6 +135,7 @@
 
   @Override
   public void onTick(long nowMs) {
+    checkSleep();
     controls.onTick(nowMs);
     owners.onTick(nowMs);
     host.onTick(nowMs);
@@ -177,15 +182,27 @@
     }
   }
 
+  /** Before anything is done on a lease: after a sleep none may be believed. */
+  private void checkSleep() {
+    long sleptMs = sleepWatch.sleptMs();
+    if (sleptMs > 0) {
+      host.mayHaveSlept(sleptMs, EventLoop.nowMs());
+      loop.settleLater();
+    }
+  }
+
   private void started(HostEffect.CallStart call, StartAnswer answer) {
+    checkSleep();
     host.startAnswered(call.lifeId(), call.run(), answer, EventLoop.nowMs());
   }
 
   private void stopped(HostEffect.CallStop call, boolean answered) {
+    checkSleep();
     host.stopAnswered(call.lifeId(), call.run(), answered, EventLoop.nowMs());
   }
 
   private void listed(HostEffect.CallHold call, HoldAnswer answer) {
+    checkSleep();
     host.holdAnswered(call.lifeId(), answer, EventLoop.nowMs());
   }
 
@@ -242,11 +259,14 @@
 
     @Override
     public void onMessage(long sessionId, Message message) {
+      checkSleep();
       long now = EventLoop.nowMs();
       switch (message) {
         case OwnerBeat beat -> host.ownerBeat(sessionId, beat.sentAtMs(), beat.follows(), now);
         case OwnerWaiting news -> host.ownerWaiting(sessionId, news, now);
         case StartRuns order -> host.startRuns(sessionId, order, now);
+        case SessionProof proof -> host.sessionProven(sessionId, proof.number(), now);
+        case SessionProbe probe -> host.sessionProbed(sessionId, probe.number());
         case StopRun order -> host.stopRun(sessionId, order.run(), now);
         case EvacuatedZones zones -> learnZones(zones, "session=" + sessionId);
         default -> owners.close(sessionId);
--- a/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
+++ b/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
@@ -10,6 +10,7 @@
 import io.hingehoist.message.Role;
 import io.hingehoist.message.SessionAck;
 import io.hingehoist.message.SessionOpened;
+import io.hingehoist.message.SessionProbe;
 import io.hingehoist.message.SessionResumed;
 import io.hingehoist.message.SessionUnknown;
 import io.hingehoist.message.StartRuns;
@@ -31,6 +32,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /**
  * The sessions of an owner with the hosts. Hosts open them; an owner that misses one makes itself
@@ -79,6 +81,13 @@
 
     void onAnnounce(Peer peer);
 
+    /**
+     * Notes that a host asks for a proof that its session goes on.
+     *
+     * @param answers takes the proof
+     */
+    void onProbe(long number, Consumer<Message> answers);
+
     /** Returns whether a host is to show each change at once. */
     boolean follows(String hostId);
   }
@@ -259,6 +268,18 @@
         self.role(), self.nodeId(), self.incarnation(), "", FrameConnection.PROTOCOL_VERSION);
   }
 
+  /** Sends a message to the hosts where runs may be going on; returns how many were sent it. */
+  int sendWhereRunsAre(Message message) {
+    int sent = 0;
+    for (Session session : sessions.values()) {
+      if (!session.isIdle() && session.channel.isPresent()) {
+        session.channel.get().send(message);
+        sent++;
+      }
+    }
+    return sent;
+  }
+
   /** Gives every session up. */
   void loseAll() {
     long nowMs = EventLoop.nowMs();
@@ -357,6 +378,8 @@
         case SessionOpened opened -> listener.onOpened(host, opened);
         case SessionAck ack -> take(session, ack);
         case Announce announce -> listener.onAnnounce(announce.self());
+        case SessionProbe probe ->
+            session.channel.ifPresent(open -> listener.onProbe(probe.number(), open::send));
         case HostRows rows -> {
           session.rows.take(rows);
           listener.onMessage(host, rows);
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -15,6 +15,8 @@
 import io.hingehoist.message.RunEnded;
 import io.hingehoist.message.RunNotStarted;
 import io.hingehoist.message.SessionOpened;
+import io.hingehoist.message.SessionProbe;
+import io.hingehoist.message.SessionProof;
 import io.hingehoist.message.WorkerCrashed;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.net.ControlLinks;
@@ -23,6 +25,7 @@
 import io.hingehoist.net.HttpCall;
 import io.hingehoist.net.HttpServer;
 import io.hingehoist.net.PlannedStop;
+import io.hingehoist.net.SleepWatch;
 import io.hingehoist.net.ZoneGauges;
 import io.hingehoist.quorum.ControlAddresses;
 import io.hingehoist.route.RouteTable;
@@ -32,6 +35,7 @@
 import io.hingehoist.run.ZoneKnowledge;
 import io.hingehoist.run.owner.JobOwner;
 import io.hingehoist.run.owner.OwnerEffect;
+import io.hingehoist.run.owner.SleepDoubt;
 import io.hingehoist.settings.NodeSection;
 import io.hingehoist.settings.OwnerSection;
 import io.hingehoist.wire.Addresses;
@@ -76,6 +80,9 @@
   private final HttpServer front;
   private final ZoneKnowledge zones = ZoneKnowledge.create();
   private final RouteFollower routes;
+  private final SleepWatch sleepWatch = SleepWatch.create();
+  private final SleepDoubt doubt = SleepDoubt.create();
+  private long doubtedSleepMs;
   private long tickedAtMs;
 
   private OwnerNode(
@@ -161,9 +168,13 @@
 
   @Override
   public void onTick(long now) {
+    checkSleep();
     if (now - tickedAtMs >= timing.ownerLeaseMs()) {
       standstill(now - tickedAtMs);
     }
+    if (doubt.hasSlept(now)) {
+      standstill(doubtedSleepMs);
+    }
     tickedAtMs = now;
     controls.onTick(now);
     routes.onTick(now);
@@ -182,6 +193,17 @@
     hosts.loseAll();
   }
 
+  /** Before anything goes out: after a sleep as long as a lease, hosts and callers have gone on. */
+  private void checkSleep() {
+    long sleptMs = sleepWatch.sleptMs();
+    if (sleptMs >= timing.ownerLeaseMs() && jobs.jobCount() > 0) {
+      doubtedSleepMs = sleptMs;
+      int asked = hosts.sendWhereRunsAre(new SessionProbe(doubt.nextNumber()));
+      doubt.begin(asked, EventLoop.nowMs());
+      log.write("mayHaveSlept", node.nodeId(), "ms=" + sleptMs + " hostsAsked=" + asked);
+    }
+  }
+
   private void checkStop(long now) {
     boolean quiet = stop.elapsedMs(now) >= STOP_SERVING_MS && front.openCalls() == 0;
     if (quiet || stop.leftMs(now) <= 0) {
@@ -208,6 +230,10 @@
 
   @Override
   public void settle(long nowMs) {
+    checkSleep();
+    if (doubt.isOpen()) {
+      return;
+    }
     jobs.place(nowMs);
     // An answer may free a caller's connection for its next job, which settles by itself.
     jobs.takeEffects().forEach(this::carryOut);
@@ -347,6 +373,7 @@
           jobs.runEnded(hostId, ended, now);
         }
         case WorkerCrashed news -> jobs.workerCrashed(news, now);
+        case SessionProof proof -> doubt.proven(proof.number());
         case RunNotStarted report -> jobs.runNotStarted(hostId, report, now);
         case EvacuatedZones heard -> learnZones(heard, hostId);
         default -> metrics.noteBadFrame();
@@ -384,6 +411,15 @@
     public void onAnnounce(Peer peer) {
       controls.told(peer);
     }
+
+    /** An owner that may have slept itself proves nothing. */
+    @Override
+    public void onProbe(long number, Consumer<Message> answers) {
+      checkSleep();
+      if (!doubt.isOpen()) {
+        answers.accept(new SessionProof(number));
+      }
+    }
   }
 
   @Override
