--- a/core/src/test/java/io/hingehoist/run/PlayedLoad.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedLoad.java
@@ -46,6 +46,11 @@
   private static final double LATE_WORTH = 0.2;
   private static final double EARLY_REFUSAL_PRICE = 0.14;
   private static final int LATE_FACTOR = 3;
+  private static final long BURST_LENGTH_MS = 10_000;
+
+  /** The time after which callers are gone. */
+  private static final long DEADLINE_MS = 1_500;
+
   private static final RunTiming TIMING = RunTiming.of(1_300, 1_000, 50);
   private static final double ESTIMATE_SPREAD = 0.4;
   private static final double CPU_SPREAD = 0.2;
@@ -98,6 +103,44 @@
     }
   }
 
+  /**
+   * A time in which more comes than usual.
+   *
+   * @param priority the kind of which more comes; any below 0 for all kinds
+   */
+  record Burst(int priority, double factor, long fromMs, long untilMs) {
+    static final Burst NONE = new Burst(-1, 1, 0, 0);
+
+    private double factorOf(Kind kind, long nowMs) {
+      boolean meant = priority < 0 || priority == kind.priority();
+      return meant && nowMs >= fromMs && nowMs < untilMs ? factor : 1;
+    }
+  }
+
+  /** How many callers were served in time, late, and not at all; and of these, with room free. */
+  record Served(int inTime, int late, int unserved, int unservedWithRoom) {
+    static final Served NOBODY = new Served(0, 0, 0, 0);
+
+    private static Served of(boolean isInTime, boolean isLate, boolean hasRoom) {
+      boolean isUnserved = !isInTime && !isLate;
+      return new Served(
+          isInTime ? 1 : 0, isLate ? 1 : 0, isUnserved ? 1 : 0, isUnserved && hasRoom ? 1 : 0);
+    }
+
+    private Served plus(Served other) {
+      return new Served(
+          inTime + other.inTime,
+          late + other.late,
+          unserved + other.unserved,
+          unservedWithRoom + other.unservedWithRoom);
+    }
+
+    /** Returns the share of callers that got no answer of use. */
+    double unservedShare() {
+      return (double) unserved / Math.max(1, inTime + late + unserved);
+    }
+  }
+
   private record Timed(long atMs, long sequence, Runnable action) {}
 
   private record Caller(Kind kind, JobPlan plan, long sentAtMs, long objectiveMs) {}
@@ -106,6 +149,7 @@
   private final class Host {
     private final String id;
     private final WorkerHost decisions;
+    private final Room capacity;
     private final Map<RunRef, Long> runs = new LinkedHashMap<>();
     private final List<HoldAnswer.Ended> ended = new ArrayList<>();
     private final Trouble trouble;
@@ -116,6 +160,7 @@
     private Host(String id, Room capacity, Trouble trouble) {
       this.id = id;
       this.trouble = trouble;
+      this.capacity = capacity;
       this.decisions = KnownZones.none(WorkerHost.create(id, 1, "z", TIMING, 1, -10_000));
       decisions.workerSeen(
           new WorkerInfo(id + "-w", "s", id, "z", false, capacity, List.of("a"), 1, 1), nowMs);
@@ -210,6 +255,11 @@
       settle();
     }
 
+    private boolean hasRoomFor(long cpuMilli) {
+      long usedMilli = runs.keySet().stream().mapToLong(run -> cpuOf.get(run.task())).sum();
+      return trouble.speed() > 0 && usedMilli + cpuMilli <= capacity.cpuMilli();
+    }
+
     private void stop(HostEffect.CallStop call) {
       decisions.stopAnswered(id + "-w", call.run(), true, nowMs);
       end(call.run(), RunEnd.STOPPED);
@@ -271,6 +321,9 @@
   private long beats;
   private long orders;
   private double heldWorth;
+  private final Map<Integer, Served> served = new HashMap<>();
+  private Burst burst = Burst.NONE;
+  private final Map<String, Long> cpuOf = new HashMap<>();
   private long nowMs = 1;
   private int jobCount;
 
@@ -329,6 +382,32 @@
     return load;
   }
 
+  /** Plays a burst on top of a load, with a trouble of workers. */
+  static PlayedLoad playBurst(
+      long seed,
+      int ownerCount,
+      int hostCount,
+      int followedHosts,
+      double loadFactor,
+      Burst burst,
+      Trouble trouble) {
+    PlayedLoad load =
+        new PlayedLoad(seed, Mix.EVEN, ownerCount, hostCount, followedHosts, trouble);
+    load.burst = burst;
+    load.run(loadFactor * hostCount / 11, BURST_LENGTH_MS);
+    return load;
+  }
+
+  /** Returns how callers fared. */
+  Served served() {
+    return served.values().stream().reduce(Served.NOBODY, Served::plus);
+  }
+
+  /** Returns how the callers of one priority fared. */
+  Served servedOf(int priority) {
+    return served.getOrDefault(priority, Served.NOBODY);
+  }
+
   /** Returns the share of the worth that was earned. */
   double earnedShare() {
     return DoubleStream.of(earned).sum() / owedInAll();
@@ -396,7 +475,8 @@
   }
 
   private void arrive(Kind kind, double loadFactor, long untilMs) {
-    double gapMs = -Math.log(1 - random.nextDouble()) * 1_000 / (kind.perSecond() * loadFactor);
+    double perSecond = kind.perSecond() * loadFactor * burst.factorOf(kind, nowMs);
+    double gapMs = -Math.log(1 - random.nextDouble()) * 1_000 / perSecond;
     long atMs = nowMs + Math.max(1, Math.round(gapMs));
     if (atMs < untilMs) {
       at(
@@ -421,6 +501,7 @@
     for (int i = 0; i < width; i++) {
       long taskMs = (long) (jobMs * spread(0.15));
       workMs.put(TaskNames.of(id, 0, i), taskMs);
+      cpuOf.put(TaskNames.of(id, 0, i), cpu);
       longestMs = Math.max(longestMs, taskMs);
     }
     long estimateMs = (long) (jobMs * spread(ESTIMATE_SPREAD));
@@ -467,6 +548,7 @@
 
   private void answered(Caller caller, JobEnd end) {
     long ms = nowMs - caller.sentAtMs();
+    noteServed(caller, end, ms);
     if (end instanceof JobEnd.Refused) {
       heldWorth += heldPrice(caller, ms);
     }
@@ -477,6 +559,20 @@
     earned[caller.kind().priority()] += share * worth(caller);
   }
 
+  private void noteServed(Caller caller, JobEnd end, long ms) {
+    boolean completed = end instanceof JobEnd.Completed && ms <= longestMs(caller);
+    boolean inTime = completed && ms <= caller.objectiveMs();
+    long cpuMilli = caller.plan().steps().getFirst().need().cpuMilli();
+    boolean hasRoom = hosts.values().stream().anyMatch(host -> host.hasRoomFor(cpuMilli));
+    served.merge(
+        caller.kind().priority(), Served.of(inTime, completed && !inTime, hasRoom), Served::plus);
+  }
+
+  /** Callers of long work wait for as long as it takes and their time on top. */
+  private static long longestMs(Caller caller) {
+    return Math.max(DEADLINE_MS, LATE_FACTOR * caller.objectiveMs());
+  }
+
   /**
    * What a refusal costs beyond the job: little if it comes early, all of it again if it is late.
    */
