--- a/core/src/test/java/io/hingehoist/run/host/LeaseClockTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/LeaseClockTest.java
@@ -28,6 +28,25 @@
     assertTrue(lease.isOver(3_000));
   }
 
+  @Test
+  public void anAnswerToAQuestionMakesUpForASlowFirstBeat() {
+    LeaseClock lease = new LeaseClock(LEASE_MS, 100);
+    lease.onBeat(AHEAD_MS + 700, 700);
+    assertTrue(lease.isOver(750));
+    lease.onAnswer(720, AHEAD_MS + 722, 724);
+    assertFalse(lease.isOver(720 + LEASE_MS - 1));
+    // The answer may have been sent as early as the question was.
+    assertTrue(lease.isOver(720 + LEASE_MS));
+  }
+
+  @Test
+  public void anAnswerThatIsHeldUpRenewsFromItsQuestion() {
+    LeaseClock lease = new LeaseClock(LEASE_MS, 100);
+    lease.onBeat(AHEAD_MS + 101, 101);
+    lease.onAnswer(200, AHEAD_MS + 202, 3_000);
+    assertTrue(lease.isOver(3_000));
+  }
+
   /**
    * Played orders, seed 47: a host stood still between the start of a session and its first beat.
    */
