Clocks of a session are compared anew by a round trip; a slow first heartbeat closes nothing

Change: a host asks for an answer (SessionProbe) when a lease would end before the next heartbeat; the answer was sent after the question, which bounds the difference of the clocks anew (LeaseClock.onAnswer). An owner leaves a worker alone for 50 ms whose host was not ready, in place of trying it at once again.

--- a/core/src/main/java/io/hingehoist/run/host/OwnerDesk.java
+++ b/core/src/main/java/io/hingehoist/run/host/OwnerDesk.java
@@ -96,9 +96,8 @@
       return;
     }
     session.lease.onBeat(sentAtMs, nowMs);
-    if (isUnusable(session, nowMs)) {
-      close(session, "heartbeats come too late", nowMs);
-      return;
+    if (endsTooEarly(session, nowMs)) {
+      compareClocks(session, nowMs);
     }
     if (!follows || nowMs - session.shownAtMs >= SHOWN_LATELY_MS) {
       show(session, nowMs);
@@ -108,10 +107,22 @@
   /**
    * A lease that ends before the next heartbeat stops every run. That happens where the first
    * heartbeat of a session took long, by which clocks are compared, as from an owner that has just
-   * started. The next session compares them anew; kept, such a session refuses most starts.
+   * started.
+   */
+  private static boolean endsTooEarly(OwnerSession session, long nowMs) {
+    return session.lease.leftMs(nowMs) < RunTiming.BEAT_MS;
+  }
+
+  /**
+   * Asks for an answer by which clocks are compared anew. To close such a session would open it
+   * again from the start, while the owner has callers waiting.
    */
-  private static boolean isUnusable(OwnerSession session, long nowMs) {
-    return session.runCount == 0 && session.lease.leftMs(nowMs) < RunTiming.BEAT_MS;
+  private void compareClocks(OwnerSession session, long nowMs) {
+    if (!session.isAsked(nowMs)) {
+      probeNumber++;
+      session.ask(probeNumber, nowMs);
+      outbox.send(session.id, new SessionProbe(probeNumber));
+    }
   }
 
   /** Starts nothing on any session until its owner has answered a probe. */
@@ -119,15 +130,17 @@
     outbox.note("mayHaveSlept", "", hostId, "ms=" + sleptMs);
     for (OwnerSession session : sessions.all()) {
       probeNumber++;
-      session.doubt(probeNumber, nowMs);
+      session.doubt(nowMs);
+      session.ask(probeNumber, nowMs);
       outbox.send(session.id, new SessionProbe(probeNumber));
     }
   }
 
   /** Takes an owner's proof that a session goes on. */
   void proven(OwnerSession session, long number, long sentAtMs, long nowMs) {
-    if (session.takeProof(number)) {
-      outbox.note("sessionProven", "", session.ownerId, "doubtedMs=" + session.doubtedMs(nowMs));
+    if (session.takeProof(number, sentAtMs, nowMs)) {
+      String outcome = "leaseLeftMs=" + session.lease.leftMs(nowMs);
+      outbox.note("sessionProven", "", session.ownerId, outcome);
     }
   }
 
--- a/core/src/main/java/io/hingehoist/run/host/OwnerSession.java
+++ b/core/src/main/java/io/hingehoist/run/host/OwnerSession.java
@@ -21,6 +21,9 @@
     }
   }
 
+  /** Some round trips to an owner that is busy; then the probe counts as lost. */
+  private static final long ANSWER_PATIENCE_MS = 500;
+
   final long id;
   final String ownerId;
   final LeaseClock lease;
@@ -41,6 +44,8 @@
   long shownAtMs;
 
   private OptionalLong probe = OptionalLong.empty();
+  private long askedAtMs;
+  private boolean doubted;
   private long doubtedSinceMs;
 
   OwnerSession(long id, String ownerId, LeaseClock lease) {
@@ -49,25 +54,40 @@
     this.lease = lease;
   }
 
-  /** Believes nothing of the lease until the owner answers a probe. */
-  void doubt(long number, long nowMs) {
+  /** Notes that the owner was sent a probe. */
+  void ask(long number, long nowMs) {
     probe = OptionalLong.of(number);
+    askedAtMs = nowMs;
+  }
+
+  /** Returns whether the answer to a probe may yet come. */
+  boolean isAsked(long nowMs) {
+    return probe.isPresent() && nowMs - askedAtMs < ANSWER_PATIENCE_MS;
+  }
+
+  /** Believes nothing of the lease until the owner answers a probe. */
+  void doubt(long nowMs) {
+    doubted = true;
     doubtedSinceMs = nowMs;
   }
 
   boolean isDoubted() {
-    return probe.isPresent();
+    return doubted;
   }
 
   long doubtedMs(long nowMs) {
     return nowMs - doubtedSinceMs;
   }
 
-  /** Takes an answer to a probe; returns whether it ends the doubt. */
-  boolean takeProof(long number) {
+  /**
+   * Takes an answer to a probe, which compares clocks and ends a doubt; returns whether it is one.
+   */
+  boolean takeProof(long number, long sentAtMs, long nowMs) {
     boolean proves = probe.isPresent() && probe.getAsLong() == number;
     if (proves) {
+      lease.onAnswer(askedAtMs, sentAtMs, nowMs);
       probe = OptionalLong.empty();
+      doubted = false;
     }
     return proves;
   }
--- a/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
@@ -37,6 +37,9 @@
 
   private static final long AVOID_MS = 1_000;
 
+  /** Some round trips to a host that is busy. */
+  private static final long NOT_READY_MS = 50;
+
   private final RunTiming timing;
   private final SpeedTable speeds = new SpeedTable();
   private final WorkerChoice choice = new WorkerChoice(speeds);
@@ -261,7 +264,9 @@
     task.job().noteNotStarted();
     view(task).ifPresent(worker -> worker.noteNotStarted(task.name()));
     switch (report.reason()) {
-      case ROOM, NOT_READY, ZONE_EVACUATED -> {}
+      case ROOM, ZONE_EVACUATED -> {}
+      // Its host may be about to hear of this owner's lease: tried at once, it would refuse again.
+      case NOT_READY -> view(task).ifPresent(worker -> worker.avoidUntil(nowMs + NOT_READY_MS));
       case OLD_NUMBER -> task.skipRunNumbers(NUMBER_STEP);
       case INVALID -> {
         if (task.noteFailure() >= task.job().plan().attempts()) {
--- a/core/src/test/java/io/hingehoist/run/PlayedRuns.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedRuns.java
@@ -10,6 +10,8 @@
 import io.hingehoist.message.RunRef;
 import io.hingehoist.message.SessionAck;
 import io.hingehoist.message.SessionOpened;
+import io.hingehoist.message.SessionProbe;
+import io.hingehoist.message.SessionProof;
 import io.hingehoist.message.StartRuns;
 import io.hingehoist.message.StopRun;
 import io.hingehoist.message.WorkerCrashed;
@@ -317,6 +319,7 @@
         case OwnerWaiting news -> host.ownerWaiting(id, news, nowMs);
         case StartRuns order -> host.startRuns(id, order, nowMs);
         case StopRun order -> host.stopRun(id, order.run(), nowMs);
+        case SessionProof proof -> host.sessionProven(id, proof.number(), proof.sentAtMs(), nowMs);
         default -> throw new IllegalStateException("not for a host: " + message);
       }
       box.settle();
@@ -334,6 +337,7 @@
         case SessionOpened opened ->
             owner.jobs.sessionOpened(
                 box.id, opened.zone(), opened.hostIncarnation(), opened.formerRunsOver());
+        case SessionProbe probe -> toHost(new SessionProof(probe.number(), nowMs));
         case HostRows rows -> owner.jobs.hostRows(box.id, rows, nowMs);
         case RunEnded ended -> owner.jobs.runEnded(box.id, ended, nowMs);
         case WorkerCrashed news -> owner.jobs.workerCrashed(news, nowMs);
