--- a/daemon/src/main/java/io/hingehoist/host/OwnerLinks.java
+++ b/daemon/src/main/java/io/hingehoist/host/OwnerLinks.java
@@ -14,8 +14,8 @@
 import io.hingehoist.net.PeerHandler;
 import io.hingehoist.net.PeerLink;
 import io.hingehoist.net.SilenceWatch;
-import io.hingehoist.run.RunTiming;
 import io.hingehoist.run.SentRows;
+import io.hingehoist.run.SessionSilence;
 import io.hingehoist.run.SessionStream;
 import io.hingehoist.wire.FrameConnection;
 import java.util.HashMap;
@@ -31,15 +31,8 @@
  * replaced, and the session goes on where it stood. Owned by the event loop.
  */
 final class OwnerLinks implements AutoCloseable {
-  /**
-   * The time without a heartbeat after which a connection is replaced: the owner's period and 100
-   * ms for what holds one up. Where runs are going on that leaves 350 of the lease of 650 ms for
-   * the next connection. Orders that came later don't count, as they renew no lease.
-   */
-  private static final long SILENT_AFTER_MS = RunTiming.BEAT_MS + 100;
-
-  /** The same where nothing of the owner runs, with as much for a slow owner as for its lease. */
-  private static final long IDLE_SILENT_AFTER_MS = RunTiming.IDLE_BEAT_MS + 300;
+  /** Until a session has begun: as for one whose owner has runs here. */
+  private static final long SILENT_AFTER_MS = SessionSilence.ofOwnerMs(false, Long.MAX_VALUE);
 
   /** Takes what happens on sessions, on the event loop. */
   interface Listener {
@@ -67,6 +60,7 @@
   private static final class Session {
     private final long id;
     private final SessionStream stream = SessionStream.create();
+    private final long beganAtMs;
     private Optional<PeerChannel> channel;
     private SentRows rows = SentRows.create();
     private long beatAtMs;
@@ -74,6 +68,7 @@
     private Session(PeerChannel channel, long nowMs) {
       this.id = channel.id();
       this.beatAtMs = nowMs;
+      this.beganAtMs = nowMs;
       this.channel = Optional.of(channel);
     }
 
@@ -134,11 +129,15 @@
 
   private void tick(String owner, PeerLink link, long nowMs) {
     Session session = sessionsByOwner.get(owner);
-    boolean idle = session != null && !listener.hasRuns(session.id);
-    link.replaceAfterSilenceOf(idle ? IDLE_SILENT_AFTER_MS : SILENT_AFTER_MS);
+    link.replaceAfterSilenceOf(session == null ? SILENT_AFTER_MS : silentAfterMs(session, nowMs));
     link.onTick(nowMs);
   }
 
+  private long silentAfterMs(Session session, long nowMs) {
+    boolean idle = !listener.hasRuns(session.id);
+    return SessionSilence.ofOwnerMs(idle, nowMs - session.beganAtMs);
+  }
+
   private void replaceIfSilent(String owner, Session session) {
     PeerLink link = links.get(owner);
     if (link != null
--- a/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
+++ b/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
@@ -24,6 +24,7 @@
 import io.hingehoist.run.OpenRuns;
 import io.hingehoist.run.ReceivedRows;
 import io.hingehoist.run.RunTiming;
+import io.hingehoist.run.SessionSilence;
 import io.hingehoist.run.SessionStream;
 import io.hingehoist.wire.FrameConnection;
 import java.io.IOException;
@@ -43,15 +44,6 @@
  * the event loop.
  */
 final class HostSessions implements AutoCloseable {
-  /**
-   * The time without a frame after which a host gets nothing new: hosts answer each heartbeat, but
-   * for those that come within 100 ms of rows that were shown, and 50 ms for what holds them up.
-   */
-  private static final long SILENT_AFTER_MS = RunTiming.BEAT_MS + 150;
-
-  /** The same where nothing of this owner runs. */
-  private static final long IDLE_SILENT_AFTER_MS = RunTiming.IDLE_BEAT_MS + 350;
-
   private static final long KNOCK_PAUSE_MS = 600;
   private static final long KNOCK_OPEN_MS = 300;
 
@@ -97,6 +89,7 @@
     private final long hostIncarnation;
     private final SessionStream stream = SessionStream.create();
     private final OpenRuns openRuns = OpenRuns.create();
+    private final long beganAtMs = EventLoop.nowMs();
     private Optional<PeerChannel> channel;
     private ReceivedRows rows = ReceivedRows.create();
     private long suspendedAtMs;
@@ -122,8 +115,8 @@
       return openRuns.isEmpty();
     }
 
-    private long silentAfterMs() {
-      return isIdle() ? IDLE_SILENT_AFTER_MS : SILENT_AFTER_MS;
+    private long silentAfterMs(long nowMs) {
+      return SessionSilence.ofHostMs(isIdle(), nowMs - beganAtMs);
     }
 
     /** A host that had little to say is not silent yet when the first run is ordered there. */
@@ -216,7 +209,7 @@
     long sinceMs = session.silentSinceMs(session.channel.get());
     if (watch.isSilent(sinceMs, session.isIdle() ? RunTiming.IDLE_SESSION_MS : silenceMs)) {
       lose(hostId, true, nowMs);
-    } else if (!session.unheard && watch.isSilent(sinceMs, session.silentAfterMs())) {
+    } else if (!session.unheard && watch.isSilent(sinceMs, session.silentAfterMs(nowMs))) {
       session.unheard = true;
       session.suspendedAtMs = nowMs;
       listener.onSuspended(hostId, nowMs - session.channel.get().heardAtMs());
