--- a/core/src/test/java/io/hingehoist/run/host/RoomChangesTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/RoomChangesTest.java
@@ -7,81 +7,56 @@
 import io.hingehoist.message.RunEnd;
 import io.hingehoist.message.RunNotStarted;
 import io.hingehoist.message.RunRef;
-import io.hingehoist.message.StartRuns;
-import io.hingehoist.run.RunTiming;
-import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** The room of a worker shrinks below what runs there, and grows again. */
 public final class RoomChangesTest {
-  private static final RunTiming TIMING = RunTiming.of(1_300, 1_000, 50);
-  private static final Room NEED = new Room(1_000, 10, 0);
   private static final Room LARGE = new Room(2_000, 1_000, 0);
   private static final Room SMALL = new Room(1_000, 1_000, 0);
-  private static final long SESSION = 7;
   private static final RunRef FIRST = new RunRef("j.0.0", 1);
   private static final RunRef SECOND = new RunRef("j.0.1", 1);
   private static final RunRef THIRD = new RunRef("j.0.2", 1);
 
-  private final List<HostEffect> effects = new ArrayList<>();
-  private WorkerHost host;
-  private long order;
+  private HostFixture host;
 
   @BeforeMethod
   public void fillTheWorker() {
-    long quietMs = TIMING.workerOverAfterMs();
-    host = KnownZones.none(WorkerHost.create("h", 1, "z", TIMING, 100, 1_000 - quietMs));
+    host = HostFixture.startedBefore(1_000);
     tell(LARGE, 1, 1_000);
-    host.sessionBegan(SESSION, "o", 1_000);
+    host.host.sessionBegan(HostFixture.SESSION, "o", 1_000);
     list(1_000, List.of());
     start(1_010, FIRST);
     start(1_011, SECOND);
   }
 
   private void tell(Room capacity, long version, long nowMs) {
-    host.workerSeen(
-        new WorkerInfo("w", "s", "10.0.0.1:1", "z", false, capacity, List.of(), version, 500),
-        nowMs);
-    settle(nowMs);
-  }
-
-  private void settle(long nowMs) {
-    host.showRows(nowMs);
-    effects.clear();
-    effects.addAll(host.takeEffects());
+    host.host.workerSeen(HostFixture.worker("w", capacity, version), nowMs);
+    host.settle(nowMs);
   }
 
   private void list(long nowMs, List<RunRef> running, HoldAnswer.Ended... ended) {
-    host.holdAnswered("w", HoldAnswers.listed(nowMs, running, ended), nowMs);
-    settle(nowMs);
+    host.list("w", nowMs, running, ended);
   }
 
   private void start(long nowMs, RunRef run) {
-    host.startRuns(SESSION, new StartRuns(++order, "w", "j", "", 100, NEED, List.of(run)), nowMs);
-    host.startAnswered("w", run, new StartAnswer.Started(501), nowMs);
-    settle(nowMs);
+    host.start(HostFixture.SESSION, "w", nowMs, run);
   }
 
   private long starts() {
-    return effects.stream().filter(HostEffect.CallStart.class::isInstance).count();
+    return host.all(HostEffect.CallStart.class).size();
   }
 
   private boolean isRefused(RunRef run) {
-    return effects.stream()
-        .anyMatch(
-            effect ->
-                effect instanceof HostEffect.ToOwner to
-                    && to.message() instanceof RunNotStarted report
-                    && report.run().equals(run));
+    return host.told(RunNotStarted.class).stream().anyMatch(report -> report.run().equals(run));
   }
 
   @Test
   public void nothingIsStoppedWhenRoomShrinks() {
     tell(SMALL, 2, 1_020);
-    assertEquals(effects.stream().filter(HostEffect.CallStop.class::isInstance).count(), 0);
-    assertEquals(host.runCount(), 2);
+    assertEquals(host.all(HostEffect.CallStop.class).size(), 0);
+    assertEquals(host.host.runCount(), 2);
   }
 
   @Test
@@ -99,7 +74,7 @@
   public void whatIsBeingStoppedStillCounts() {
     tell(SMALL, 2, 1_020);
     list(1_030, List.of(SECOND), new HoldAnswer.Ended(1, FIRST, RunEnd.DONE));
-    host.stopRun(SESSION, SECOND, 1_031);
+    host.host.stopRun(HostFixture.SESSION, SECOND, 1_031);
     start(1_040, THIRD);
     assertEquals(isRefused(THIRD), true);
   }
@@ -115,14 +90,7 @@
   @Test
   public void ownersSeeAChangeOfRoom() {
     tell(SMALL, 2, 1_200);
-    HostRows rows =
-        effects.stream()
-            .filter(HostEffect.ToOwner.class::isInstance)
-            .map(effect -> ((HostEffect.ToOwner) effect).message())
-            .filter(HostRows.class::isInstance)
-            .map(HostRows.class::cast)
-            .findFirst()
-            .orElseThrow();
+    HostRows rows = host.told(HostRows.class).getFirst();
     assertEquals(rows.workers().getFirst().capacity(), SMALL);
   }
 }
--- a/core/src/test/java/io/hingehoist/run/host/SleptHostTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/SleptHostTest.java
@@ -9,9 +9,6 @@
 import io.hingehoist.message.RunRefusal;
 import io.hingehoist.message.SessionProbe;
 import io.hingehoist.message.SessionProof;
-import io.hingehoist.message.StartRuns;
-import io.hingehoist.run.RunTiming;
-import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -21,53 +18,36 @@
  * owners seem fresh, though these have started the tasks elsewhere.
  */
 public final class SleptHostTest {
-  private static final RunTiming TIMING = RunTiming.of(1_300, 1_000, 50);
   private static final Room CAPACITY = new Room(4_000, 1_000, 0);
-  private static final Room NEED = new Room(1_000, 10, 0);
-  private static final long SESSION = 7;
+  private static final long SESSION = HostFixture.SESSION;
   private static final RunRef RUNS = new RunRef("j.0.0", 1);
   private static final RunRef ORDERED = new RunRef("j.0.1", 1);
 
-  private final List<HostEffect> effects = new ArrayList<>();
+  private HostFixture played;
   private WorkerHost host;
-  private long order;
 
   @BeforeMethod
   public void sleepWhileSomethingRuns() {
-    long quietMs = TIMING.workerOverAfterMs();
-    host = KnownZones.none(WorkerHost.create("h", 1, "z", TIMING, 100, 1_000 - quietMs));
-    host.workerSeen(
-        new WorkerInfo("w", "s", "10.0.0.1:1", "z", false, CAPACITY, List.of(), 1, 500), 1_000);
+    played = HostFixture.startedBefore(1_000);
+    host = played.host;
+    host.workerSeen(HostFixture.worker("w", CAPACITY, 1), 1_000);
     host.sessionBegan(SESSION, "o", 1_000);
-    host.holdAnswered("w", HoldAnswers.listed(1_000, List.of()), 1_000);
-    start(1_010, RUNS);
-    host.startAnswered("w", RUNS, new StartAnswer.Started(501), 1_011);
+    played.list("w", 1_000, List.of());
+    played.start(SESSION, "w", 1_010, RUNS);
     host.mayHaveSlept(4_000, 1_020);
-    settle(1_020);
-  }
-
-  private void settle(long nowMs) {
-    host.showRows(nowMs);
-    effects.clear();
-    effects.addAll(host.takeEffects());
+    played.settle(1_020);
   }
 
   private void start(long nowMs, RunRef run) {
-    host.startRuns(SESSION, new StartRuns(++order, "w", "j", "", 100, NEED, List.of(run)), nowMs);
-    settle(nowMs);
+    played.order(SESSION, "w", nowMs, run);
   }
 
   private <M extends Message> List<M> told(Class<M> type) {
-    return effects.stream()
-        .filter(HostEffect.ToOwner.class::isInstance)
-        .map(effect -> ((HostEffect.ToOwner) effect).message())
-        .filter(type::isInstance)
-        .map(type::cast)
-        .toList();
+    return played.told(type);
   }
 
   private long count(Class<? extends HostEffect> type) {
-    return effects.stream().filter(type::isInstance).count();
+    return played.all(type).size();
   }
 
   private long probe() {
@@ -99,7 +79,7 @@
     start(1_025, ORDERED);
     host.mayHaveSlept(4_000, 1_030);
     host.startAnswered("w", ORDERED, new StartAnswer.Unanswered(), 1_031);
-    settle(1_031);
+    played.settle(1_031);
     assertEquals(count(HostEffect.CallStart.class), 0);
     assertEquals(count(HostEffect.CallStop.class), 1);
   }
@@ -107,10 +87,10 @@
   @Test
   public void theRunsOfAnOwnerThatDoesNotAnswerAreStopped() {
     host.onTick(1_200);
-    settle(1_200);
+    played.settle(1_200);
     assertEquals(count(HostEffect.CloseSession.class), 0);
     host.onTick(1_320);
-    settle(1_320);
+    played.settle(1_320);
     assertEquals(count(HostEffect.CloseSession.class), 1);
     assertEquals(count(HostEffect.CallStop.class), 1);
   }
@@ -125,7 +105,7 @@
   @Test
   public void itProvesNothingToOthersWhileItDoubtsItself() {
     host.sessionProbed(SESSION, 5, 1_021);
-    settle(1_021);
+    played.settle(1_021);
     assertEquals(told(SessionProof.class), List.of());
   }
 }
--- a/core/src/test/java/io/hingehoist/run/host/WorkerBirthTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/WorkerBirthTest.java
@@ -9,10 +9,7 @@
 import io.hingehoist.message.RunEnd;
 import io.hingehoist.message.RunEnded;
 import io.hingehoist.message.RunRef;
-import io.hingehoist.message.StartRuns;
 import io.hingehoist.message.WorkerState;
-import io.hingehoist.run.RunTiming;
-import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -23,16 +20,13 @@
  * older ones, and takes its first ends for ends that it has seen.
  */
 public final class WorkerBirthTest {
-  private static final RunTiming TIMING = RunTiming.of(1_300, 1_000, 50);
   private static final Room CAPACITY = new Room(4_000, 1_000, 0);
-  private static final Room NEED = new Room(1_000, 10, 0);
-  private static final long SESSION = 7;
+  private static final long SESSION = HostFixture.SESSION;
   private static final long BORN_MS = 1_700_000_000_000L;
   private static final long AGAIN_MS = BORN_MS + 5_000;
 
-  private final List<HostEffect> effects = new ArrayList<>();
+  private HostFixture played;
   private WorkerHost host;
-  private long order;
 
   private static WorkerInfo account(long bornMs, boolean draining, long version) {
     return new WorkerInfo(
@@ -49,29 +43,23 @@
 
   @BeforeMethod
   public void open() {
-    long quietMs = TIMING.workerOverAfterMs();
-    host = KnownZones.none(WorkerHost.create("h", 1, "z", TIMING, 100, 1_000 - quietMs));
+    played = HostFixture.startedBefore(1_000);
+    host = played.host;
     host.workerSeen(account(BORN_MS, false, 40), 1_000);
     host.sessionBegan(SESSION, "o", 1_000);
     list(BORN_MS, 1_000, List.of());
   }
 
   private void settle(long nowMs) {
-    host.showRows(nowMs);
-    effects.clear();
-    effects.addAll(host.takeEffects());
+    played.settle(nowMs);
   }
 
   private <E extends HostEffect> List<E> all(Class<E> type) {
-    return effects.stream().filter(type::isInstance).map(type::cast).toList();
+    return played.all(type);
   }
 
   private <M extends Message> List<M> told(Class<M> type) {
-    return all(HostEffect.ToOwner.class).stream()
-        .map(HostEffect.ToOwner::message)
-        .filter(type::isInstance)
-        .map(type::cast)
-        .toList();
+    return played.told(type);
   }
 
   private void list(long bornMs, long nowMs, List<RunRef> running, HoldAnswer.Ended... ended) {
@@ -88,15 +76,12 @@
     settle(nowMs);
   }
 
-  private void order(long bornMs, long nowMs, RunRef... runs) {
-    host.startRuns(
-        SESSION, new StartRuns(++order, life(bornMs), "j", "", 100, NEED, List.of(runs)), nowMs);
-    settle(nowMs);
+  private void order(long bornMs, long nowMs, RunRef run) {
+    played.order(SESSION, life(bornMs), nowMs, run);
   }
 
   private void start(long bornMs, long nowMs, RunRef run) {
-    order(bornMs, nowMs, run);
-    host.startAnswered(life(bornMs), run, new StartAnswer.Started(501), nowMs);
+    played.start(SESSION, life(bornMs), nowMs, run);
   }
 
   private void bornAgain(long nowMs) {
