--- a/daemon/src/main/java/io/hingehoist/net/SleepWatch.java
+++ b/daemon/src/main/java/io/hingehoist/loop/SleepWatch.java
@@ -1,9 +1,10 @@
-package io.hingehoist.net;
+package io.hingehoist.loop;
 
 /**
  * Notices that this box may have been suspended: its steady clock stood meanwhile, and the time of
  * day went on. The time of day may also have been set forward, so this is a doubt and not a proof;
- * whoever holds a lease asks the other side, which costs one round trip. Owned by the event loop.
+ * whoever holds a lease asks the other side, which costs one round trip. Owned by the loop of a
+ * node.
  */
 public final class SleepWatch {
   /** Far below any lease, and above what clocks of one box drift apart between two looks. */
@@ -17,7 +18,7 @@
 
   /** Creates a watch that begins now. */
   public static SleepWatch create() {
-    return at(EventLoop.nowMs(), System.currentTimeMillis());
+    return at(InboxLoop.nowMs(), System.currentTimeMillis());
   }
 
   /** Creates a watch that begins at times of both clocks. */
@@ -27,7 +28,7 @@
 
   /** Returns how long this box may have slept since the last call; 0 if it did not. */
   public long sleptMs() {
-    return sleptMs(EventLoop.nowMs(), System.currentTimeMillis());
+    return sleptMs(InboxLoop.nowMs(), System.currentTimeMillis());
   }
 
   /** Returns the same by times of both clocks. */
--- a/daemon/src/test/java/io/hingehoist/net/SleepWatchTest.java
+++ b/daemon/src/test/java/io/hingehoist/loop/SleepWatchTest.java
@@ -1,4 +1,4 @@
-package io.hingehoist.net;
+package io.hingehoist.loop;
 
 import static org.testng.Assert.assertEquals;
 
