An owner that holds no routes yet fetches them in parts of 512

Change: the request says how many routes a part may hold; 512 where nothing is held, 64 as before else. RouteDownloadTest.whoeverHoldsNothingHasThousandsOfRoutesAfterSomeRoundTrips: 32 requests before, 4 now.

--- a/core/src/main/java/io/hingehoist/route/RouteArchive.java
+++ b/core/src/main/java/io/hingehoist/route/RouteArchive.java
@@ -19,8 +19,10 @@
 
   private final Deque<RouteTable> newestFirst = new ArrayDeque<>();
 
-  /** The parts that lead to the newest table, by the version of the table that they begin with. */
-  private final Map<Long, List<RoutesPart>> partsByBase = new HashMap<>();
+  private record PartsKey(long baseVersion, int partRoutes) {}
+
+  /** The parts that lead to the newest table, by what they begin with. */
+  private final Map<PartsKey, List<RoutesPart>> partsByBase = new HashMap<>();
 
   private RouteArchive() {}
 
@@ -65,8 +67,11 @@
       return Optional.empty();
     }
     RouteTable base = held(request);
+    int partRoutes =
+        Math.clamp(request.partRoutes(), RouteParts.USUAL_ROUTES, RouteParts.FIRST_ROUTES);
+    PartsKey key = new PartsKey(base.version(), partRoutes);
     List<RoutesPart> parts =
-        partsByBase.computeIfAbsent(base.version(), version -> RouteParts.of(base, newest));
+        partsByBase.computeIfAbsent(key, k -> RouteParts.of(base, newest, partRoutes));
     boolean known =
         request.wantedVersion() == newest.version()
             && request.part() >= 0
--- a/core/src/main/java/io/hingehoist/route/RouteDownload.java
+++ b/core/src/main/java/io/hingehoist/route/RouteDownload.java
@@ -125,8 +125,9 @@
 
   private void ask(Fetch fetch, long heldVersion, long heldDigest, long nowMs) {
     fetch.askedAtMs = nowMs;
+    int partRoutes = table.version() == 0 ? RouteParts.FIRST_ROUTES : RouteParts.USUAL_ROUTES;
     RoutesRequest request =
-        new RoutesRequest(heldVersion, heldDigest, fetch.version, fetch.nextPart);
+        new RoutesRequest(heldVersion, heldDigest, fetch.version, fetch.nextPart, partRoutes);
     effects.add(new Effect.Ask(fetch.source, request));
   }
 
--- a/core/src/main/java/io/hingehoist/route/RouteParts.java
+++ b/core/src/main/java/io/hingehoist/route/RouteParts.java
@@ -9,19 +9,29 @@
 /** What turns one table into another, in parts that are small enough to share a connection. */
 final class RouteParts {
   /** Some 7 KB, 4 ms on a link of 17 Mbit/s: what a heartbeat may wait for behind a part. */
-  static final int MAX_ROUTES_IN_PART = 64;
+  static final int USUAL_ROUTES = 64;
+
+  /**
+   * Some 55 KB, for whoever holds nothing yet and serves nobody: there is nothing to wait behind a
+   * part, and each part costs a round trip of cold code.
+   */
+  static final int FIRST_ROUTES = 512;
 
   private RouteParts() {}
 
-  /** Returns the parts in order; at least one, which may change nothing. */
-  static List<RoutesPart> of(RouteTable base, RouteTable newer) {
+  /**
+   * Returns the parts in order; at least one, which may change nothing.
+   *
+   * @param partRoutes the largest number of routes in one
+   */
+  static List<RoutesPart> of(RouteTable base, RouteTable newer, int partRoutes) {
     List<RoutePlace> removed = removed(base, newer);
     List<RouteRow> put = put(base, newer);
     int changes = removed.size() + put.size();
-    int partCount = Math.max(1, (changes + MAX_ROUTES_IN_PART - 1) / MAX_ROUTES_IN_PART);
+    int partCount = Math.max(1, (changes + partRoutes - 1) / partRoutes);
     List<RoutesPart> parts = new ArrayList<>(partCount);
     for (int part = 0; part < partCount; part++) {
-      int from = part * MAX_ROUTES_IN_PART;
+      int from = part * partRoutes;
       parts.add(
           new RoutesPart(
               newer.version(),
@@ -29,8 +39,8 @@
               base.version(),
               part,
               partCount,
-              piece(removed, from),
-              piece(put, from - removed.size())));
+              piece(removed, from, partRoutes),
+              piece(put, from - removed.size(), partRoutes)));
     }
     return parts;
   }
@@ -56,9 +66,9 @@
   }
 
   /** Returns what of a list lies in a part that begins at an index, which may be below 0. */
-  private static <T> List<T> piece(List<T> all, int from) {
+  private static <T> List<T> piece(List<T> all, int from, int length) {
     int first = Math.clamp(from, 0, all.size());
-    int end = Math.clamp(from + MAX_ROUTES_IN_PART, 0, all.size());
+    int end = Math.clamp(from + length, 0, all.size());
     return all.subList(first, end);
   }
 }
