Owners may keep room for urgent work: a setting, off by default

Load: long work of the last priority doubles while a fifth of the workers hang. Cause: a run is not taken back, so that long tasks fill each gap and urgent callers are turned away.

Change: Reservation, owner.reservedForUrgentPercent (0 to 50, 0 by default): the least urgent queue, if its tasks take twice as long as more urgent ones, waits while less than that share of all room is free.

--- a/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
@@ -14,6 +14,7 @@
 import io.hingehoist.run.TaskNames;
 import io.hingehoist.run.load.Door;
 import io.hingehoist.run.load.FollowedCount;
+import io.hingehoist.run.load.Reservation;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -56,11 +57,13 @@
   private long readyAtMs;
   private OptionalLong fleetKnownAtMs = OptionalLong.empty();
 
-  private JobOwner(RunTiming timing, FollowedHosts followed, int followedHosts) {
+  private JobOwner(
+      RunTiming timing, FollowedHosts followed, int followedHosts, Reservation reservation) {
     this.timing = timing;
     this.followedCount = FollowedCount.of(followedHosts);
     this.hosts = new HostViews(followed);
-    this.placement = new RunPlacement(hosts, choice, outbox, task -> active.put(task.name(), task));
+    this.placement =
+        new RunPlacement(hosts, choice, reservation, outbox, task -> active.put(task.name(), task));
     this.watch = new RunWatch(hosts, speeds, choice, placement::newPass);
   }
 
@@ -75,7 +78,19 @@
    * @param followedHosts the number of hosts that get work first, those of its zone before others
    */
   public static JobOwner create(RunTiming timing, String ownerId, String zone, int followedHosts) {
-    return new JobOwner(timing, new FollowedHosts(ownerId, zone, followedHosts), followedHosts);
+    return create(timing, ownerId, zone, followedHosts, Reservation.ofPercent(0));
+  }
+
+  /**
+   * Creates an owner of no jobs that keeps room for urgent work.
+   *
+   * @param followedHosts the least number of hosts that get work first
+   * @param reservation the room that long work leaves to urgent work
+   */
+  public static JobOwner create(
+      RunTiming timing, String ownerId, String zone, int followedHosts, Reservation reservation) {
+    return new JobOwner(
+        timing, new FollowedHosts(ownerId, zone, followedHosts), followedHosts, reservation);
   }
 
   /** Returns what is to be done since the last call, in order. */
@@ -92,7 +107,7 @@
     }
     OwnedJob job = new OwnedJob(plan, nowMs, ++jobNumber);
     jobs.put(plan.jobId(), job);
-    placement.addAll(job.takeFreed());
+    placement.addArrived(job.takeFreed(), nowMs);
     outbox.note("jobTaken", plan.jobId(), "", plan.queue(), "priority=" + plan.priority());
     noteCrashes(job, nowMs);
     refuseIfTooWide(job, nowMs);
--- a/core/src/main/java/io/hingehoist/run/owner/PlacementPass.java
+++ b/core/src/main/java/io/hingehoist/run/owner/PlacementPass.java
@@ -57,6 +57,11 @@
     this.nowMs = nowMs;
   }
 
+  /** Returns the share of the processors of a service's workers that is free by now. */
+  double freeShare(String service) {
+    return choice.freeShare(service, all, nowMs);
+  }
+
   /** Returns the best worker for a task now; empty if none has room. */
   Optional<WorkerView> choose(OwnedTask task) {
     Optional<WorkerView> beside = lastChosen.filter(worker -> isGoodBeside(worker, task));
--- a/core/src/main/java/io/hingehoist/run/owner/RunPlacement.java
+++ b/core/src/main/java/io/hingehoist/run/owner/RunPlacement.java
@@ -2,6 +2,7 @@
 
 import io.hingehoist.message.OwnerWaiting;
 import io.hingehoist.run.load.Lateness;
+import io.hingehoist.run.load.Reservation;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -14,6 +15,7 @@
 final class RunPlacement {
   private final HostViews hosts;
   private final WorkerChoice choice;
+  private final Reservation reservation;
   private final OwnerOutbox outbox;
   private final Consumer<OwnedTask> onOrdered;
   private final WaitingTasks waiting = new WaitingTasks();
@@ -22,10 +24,16 @@
   /**
    * Creates a placement of no tasks.
    *
+   * @param reservation the room that long work leaves to urgent work
    * @param onOrdered gets each task of which a run was ordered
    */
   RunPlacement(
-      HostViews hosts, WorkerChoice choice, OwnerOutbox outbox, Consumer<OwnedTask> onOrdered) {
+      HostViews hosts,
+      WorkerChoice choice,
+      Reservation reservation,
+      OwnerOutbox outbox,
+      Consumer<OwnedTask> onOrdered) {
+    this.reservation = reservation;
     this.hosts = hosts;
     this.choice = choice;
     this.outbox = outbox;
@@ -40,6 +48,14 @@
     waiting.addAll(tasks);
   }
 
+  /** Adds the tasks of a job that came now. */
+  void addArrived(List<OwnedTask> tasks, long nowMs) {
+    for (OwnedTask task : tasks) {
+      reservation.noteArrival(task.priority(), task.plan().estimateMs(), nowMs);
+    }
+    waiting.addAll(tasks);
+  }
+
   void remove(OwnedTask task) {
     waiting.remove(task);
   }
@@ -97,6 +113,9 @@
    */
   private boolean order(
       OwnedTask task, double spareShare, PlacementPass pass, OrderBatch batch, long nowMs) {
+    if (isHeldBack(task, pass, nowMs)) {
+      return false;
+    }
     Optional<WorkerView> chosen = pass.choose(task);
     if (chosen.isEmpty() || !spares(chosen.get(), task, spareShare)) {
       return false;
@@ -110,6 +129,15 @@
     return true;
   }
 
+  private boolean isHeldBack(OwnedTask task, PlacementPass pass, long nowMs) {
+    if (reservation.isNone()) {
+      return false;
+    }
+    OwnedJob job = task.job();
+    return reservation.holdsBack(
+        task.priority(), job.mayHaveStarted(), pass.freeShare(job.plan().service()), nowMs);
+  }
+
   /**
    * What is begun goes on in any case. A worker that this owner uses for nothing else may be
    * filled, as some tasks need all of one.
--- a/core/src/main/java/io/hingehoist/run/owner/WorkerChoice.java
+++ b/core/src/main/java/io/hingehoist/run/owner/WorkerChoice.java
@@ -82,6 +82,21 @@
     return unwell <= all * MAX_LEFT_OUT;
   }
 
+  /** Returns the share of the processors of workers that take runs which is free. */
+  double freeShare(String service, Collection<HostView> hosts, long nowMs) {
+    double freeMilli = 0;
+    double allMilli = 0;
+    for (HostView host : hosts) {
+      for (WorkerView worker : host.workers()) {
+        if (worker.row().service().equals(service) && worker.takesRuns(nowMs)) {
+          freeMilli += Math.max(0, worker.free().cpuMilli());
+          allMilli += worker.row().capacity().cpuMilli();
+        }
+      }
+    }
+    return allMilli == 0 ? 0 : freeMilli / allMilli;
+  }
+
   boolean isSlow(WorkerView worker, long nowMs) {
     return isSlower(worker, TOO_SLOW, SICK, nowMs);
   }
--- a/core/src/test/java/io/hingehoist/run/PlayedLoad.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedLoad.java
@@ -17,6 +17,7 @@
 import io.hingehoist.run.host.StartAnswer;
 import io.hingehoist.run.host.WorkerHost;
 import io.hingehoist.run.host.WorkerInfo;
+import io.hingehoist.run.load.Reservation;
 import io.hingehoist.run.owner.JobOwner;
 import io.hingehoist.run.owner.OwnerEffect;
 import java.util.ArrayList;
@@ -371,13 +372,27 @@
       int followedHosts,
       Trouble trouble,
       Unevenness uneven) {
+    this(seed, mix, ownerCount, hostCount, followedHosts, trouble, uneven, 0);
+  }
+
+  private PlayedLoad(
+      long seed,
+      Mix mix,
+      int ownerCount,
+      int hostCount,
+      int followedHosts,
+      Trouble trouble,
+      Unevenness uneven,
+      int reservedPercent) {
     this.uneven = uneven;
     this.random = new Random(seed);
     this.mix = mix;
     this.owed = new double[mix.kinds.size()];
     this.earned = new double[mix.kinds.size()];
     for (int i = 0; i < ownerCount; i++) {
-      owners.add(JobOwner.create(TIMING, "o" + i, "z", followedHosts));
+      owners.add(
+          JobOwner.create(
+              TIMING, "o" + i, "z", followedHosts, Reservation.ofPercent(reservedPercent)));
     }
     for (int i = 0; i < hostCount; i++) {
       long cpu = i % 3 == 2 ? 24_000 : 16_000;
@@ -427,6 +442,31 @@
     return load;
   }
 
+  /** Plays a burst on top of a load on owners that keep room for urgent work. */
+  static PlayedLoad playReserved(
+      long seed,
+      int ownerCount,
+      int hostCount,
+      int followedHosts,
+      double loadFactor,
+      Burst burst,
+      Trouble trouble,
+      int reservedPercent) {
+    PlayedLoad load =
+        new PlayedLoad(
+            seed,
+            Mix.EVEN,
+            ownerCount,
+            hostCount,
+            followedHosts,
+            trouble,
+            Unevenness.NONE,
+            reservedPercent);
+    load.burst = burst;
+    load.run(loadFactor * hostCount / 11, BURST_LENGTH_MS);
+    return load;
+  }
+
   /** Plays a burst on top of a load, with a trouble of workers. */
   static PlayedLoad playBurst(
       long seed,
--- a/core/src/test/java/io/hingehoist/run/PlayedLoadTest.java
+++ b/core/src/test/java/io/hingehoist/run/PlayedLoadTest.java
@@ -98,4 +98,22 @@
     }
     assertTrue(gap < 0.08, "busy owners earn less by " + gap);
   }
+
+  /**
+   * A fifth of the workers hang and long work of the last priority doubles. Without a reservation
+   * more than one in thirty of the callers with more urgent work are not served at all.
+   */
+  @Test
+  public void aReservationKeepsUrgentCallersServedWhileLongWorkPoursIn() {
+    PlayedLoad.Burst burst = new PlayedLoad.Burst(2, 2.1, 2_800, 8_600);
+    PlayedLoad.Trouble hung = new PlayedLoad.Trouble(0.23, 0, 2_000, 7_400);
+    PlayedLoad without = PlayedLoad.playReserved(1, 11, 63, 14, 1.1, burst, hung, 0);
+    PlayedLoad reserved = PlayedLoad.playReserved(1, 11, 63, 14, 1.1, burst, hung, 10);
+    assertTrue(unservedOfUrgent(without) > 0.03, "without " + unservedOfUrgent(without));
+    assertTrue(unservedOfUrgent(reserved) < 0.01, "reserved " + unservedOfUrgent(reserved));
+  }
+
+  private static double unservedOfUrgent(PlayedLoad load) {
+    return Math.max(load.servedOf(0).unservedShare(), load.servedOf(1).unservedShare());
+  }
 }
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -33,6 +33,7 @@
 import io.hingehoist.run.JobPlan;
 import io.hingehoist.run.RunTiming;
 import io.hingehoist.run.ZoneKnowledge;
+import io.hingehoist.run.load.Reservation;
 import io.hingehoist.run.owner.JobOwner;
 import io.hingehoist.run.owner.OwnerEffect;
 import io.hingehoist.run.owner.SleepDoubt;
@@ -103,7 +104,13 @@
     this.timing =
         RunTiming.of(
             settings.resubmitAfterMs(), settings.longestWorkerLeaseMs(), settings.killGraceMs());
-    this.jobs = JobOwner.create(timing, node.nodeId(), node.zone(), settings.followedHosts());
+    this.jobs =
+        JobOwner.create(
+            timing,
+            node.nodeId(),
+            node.zone(),
+            settings.followedHosts(),
+            Reservation.ofPercent(settings.reservedForUrgentPercent()));
     Peer self =
         new Peer(
             node.nodeId(),
