The pace of a worker needs no case of its own for the first end

The mean begins at 0, so the first end moves it by its own bounded logarithm over 1, which is what the extra case set by hand. The bound's logarithm is a constant now and no longer taken at each end. The same figures come out: 0 + x / 1 is x.

--- a/core/src/main/java/io/hingehoist/run/host/PaceMeter.java
+++ b/core/src/main/java/io/hingehoist/run/host/PaceMeter.java
@@ -15,8 +15,8 @@
   /** As many ends as a worker has in some tens of seconds. */
   private static final int REMEMBERED_ENDS = 256;
 
-  /** The factor for which one end counts at most, up or down. */
-  private static final double MAX_FACTOR = 3;
+  /** One end counts for a factor of 3 at most, up or down. */
+  private static final double MAX_LOG_OFF = Math.log(3);
 
   /** What is told stays as it is until the pace has moved by this factor. */
   private static final double TOLD_STEP = 1.08;
@@ -28,11 +28,7 @@
   /** Notes a run that ended well while the worker got on as usual. */
   void noteDone(long ranMs, long estimateMs) {
     double logRatio = Math.log(Math.max(1.0, ranMs) / Math.max(1.0, estimateMs));
-    double bound = Math.log(MAX_FACTOR);
-    double off = ends == 0 ? 0 : Math.clamp(logRatio - logPace, -bound, bound);
-    if (ends == 0) {
-      logPace = Math.clamp(logRatio, -bound, bound);
-    }
+    double off = Math.clamp(logRatio - logPace, -MAX_LOG_OFF, MAX_LOG_OFF);
     ends++;
     logPace += off / Math.min(ends, REMEMBERED_ENDS);
     tell();
