--- a/core/src/main/java/io/hingehoist/run/host/InstanceRegistry.java
+++ b/core/src/main/java/io/hingehoist/run/host/InstanceRegistry.java
@@ -126,7 +126,7 @@
   private void endInstancesAt(String address, long nowMs) {
     for (WorkerInstance instance : instances.all()) {
       if (instance.info().address().equals(address)) {
-        runController.endInstance(instance, "replaced", nowMs);
+        runController.endInstance(instance, "replaced", EndEvidence.OTHER_INSTANCE, nowMs);
       }
     }
   }
--- a/core/src/main/java/io/hingehoist/run/host/RunController.java
+++ b/core/src/main/java/io/hingehoist/run/host/RunController.java
@@ -45,6 +45,7 @@
   private final LeaseBounds bounds;
   private final HostOutbox outbox;
   private final CrashLog crashes = new CrashLog();
+  private final ReportedRuns reported = new ReportedRuns();
   private long unansweredStartCount;
 
   RunController(
@@ -182,7 +183,8 @@
       }
       case StartResult.Unanswered unanswered -> startUnanswered(instance, run, nowMs);
       case StartResult.OtherInstance other ->
-          endInstance(instance, "start call reached another instance", nowMs);
+          endInstance(
+              instance, "start call reached another instance", EndEvidence.OTHER_INSTANCE, nowMs);
       case StartResult.ConnectionRefused connectionRefused -> {
         recordRefusedConnection(instance, nowMs);
         startRefused(instance, run, RunRefusal.NOT_READY, nowMs);
@@ -198,6 +200,7 @@
   private void startRefused(WorkerInstance instance, HostedRun run, RunRefusal reason, long nowMs) {
     if (run.unansweredStarts == 0) {
       remove(instance, run);
+      reported.record(run.run, instance.id(), EndEvidence.START_REFUSED, nowMs);
       refuse(run.sessionId, run.run, instance.id(), reason);
       return;
     }
@@ -255,7 +258,7 @@
     } else if (run.unansweredStarts > 0) {
       invalidateNumber(instance, run, nowMs);
     } else {
-      endRun(instance, run, RunEnd.STOPPED);
+      endRun(instance, run, RunEnd.STOPPED, EndEvidence.START_REFUSED, nowMs);
     }
   }
 
@@ -338,8 +341,9 @@
   }
 
   /** Stops a run that a former incarnation of this host or a late start call has started. */
-  void stopUnknownRun(WorkerInstance instance, RunRef run) {
-    outbox.logDecision("strangerStopped", run.task(), instance.id(), "run=" + run.number());
+  void stopUnknownRun(WorkerInstance instance, RunRef run, long nowMs) {
+    String outcome = "run=%d %s".formatted(run.number(), describeReport(run, nowMs));
+    outbox.logDecision("strangerStopped", run.task(), instance.id(), outcome);
     addStopCall(instance, run, 0);
   }
 
@@ -374,12 +378,12 @@
   // Ends.
 
   /** Removes a worker instance that has ended, and ends all its runs. */
-  void endInstance(WorkerInstance instance, String reason, long nowMs) {
+  void endInstance(WorkerInstance instance, String reason, EndEvidence evidence, long nowMs) {
     instances.remove(instance);
     outbox.logDecision(
         "workerGone", "", instance.id(), "reason=" + reason + ' ' + instance.describeState(nowMs));
     recordCrash(instance, nowMs);
-    instance.runs().forEach(run -> endRun(instance, run, RunEnd.LOST));
+    instance.runs().forEach(run -> endRun(instance, run, RunEnd.LOST, evidence, nowMs));
     outbox.add(new HostEffect.CloseConnections(instance.info().address()));
   }
 
@@ -420,27 +424,29 @@
         run.startCallsExpireAtMs = nowMs + MAX_CALL_DELAY_MS;
         callStop(restarted, run, nowMs);
       } else {
-        endRun(former, run, RunEnd.LOST);
+        endRun(former, run, RunEnd.LOST, EndEvidence.RESTARTED, nowMs);
       }
     }
   }
 
-  /** Ends a run that produced no result, and reports it with a duration of 0. */
-  void endRun(WorkerInstance instance, HostedRun run, RunEnd end) {
-    endRun(instance, run, end, run.orderedAtMs);
-  }
-
-  /** Ends a run and reports its end and duration to its owner. */
-  void endRun(WorkerInstance instance, HostedRun run, RunEnd end, long nowMs) {
+  /** Ends a run and reports it to its owner, with its duration if the worker listed the end. */
+  void endRun(
+      WorkerInstance instance, HostedRun run, RunEnd end, EndEvidence evidence, long nowMs) {
     remove(instance, run);
-    long ranMs = Math.max(0, nowMs - run.orderedAtMs);
+    long ranMs = evidence == EndEvidence.LISTED ? Math.max(0, nowMs - run.orderedAtMs) : 0;
     String outcome =
-        "run=%d end=%s ms=%d unansweredStarts=%d"
-            .formatted(run.run.number(), end, ranMs, run.unansweredStarts);
+        "run=%d end=%s evidence=%s ms=%d unansweredStarts=%d"
+            .formatted(run.run.number(), end, evidence, ranMs, run.unansweredStarts);
     outbox.logDecision("runOver", run.run.task(), instance.id(), outcome);
+    reported.record(run.run, instance.id(), evidence, nowMs);
     outbox.send(run.sessionId, new RunEnded(run.run, end, ranMs));
   }
 
+  /** Returns what was reported of a run that is not known any more, for the log. */
+  String describeReport(RunRef run, long nowMs) {
+    return reported.describe(run, nowMs);
+  }
+
   private void remove(WorkerInstance instance, HostedRun run) {
     instance.remove(run);
     sessions.find(run.sessionId).ifPresent(session -> session.runCount--);
--- a/core/src/main/java/io/hingehoist/run/host/WorkerPoller.java
+++ b/core/src/main/java/io/hingehoist/run/host/WorkerPoller.java
@@ -145,7 +145,8 @@
       }
       case PollResult.Unanswered unanswered -> recordLostPoll(instance, nowMs);
       case PollResult.OtherInstance other -> {
-        runController.endInstance(instance, "poll reached another instance", nowMs);
+        runController.endInstance(
+            instance, "poll reached another instance", EndEvidence.OTHER_INSTANCE, nowMs);
         return;
       }
       case PollResult.ConnectionRefused refused -> {
@@ -201,18 +202,18 @@
       }
     }
     recordProgress(instance, listed, nowMs);
-    instance.runs().forEach(run -> endIfGone(instance, run, listed));
-    stopUnknownRuns(instance, listed);
+    instance.runs().forEach(run -> endIfGone(instance, run, listed, nowMs));
+    stopUnknownRuns(instance, listed, nowMs);
     return newEnds;
   }
 
-  private void stopUnknownRuns(WorkerInstance instance, PollResult.Listed listed) {
+  private void stopUnknownRuns(WorkerInstance instance, PollResult.Listed listed, long nowMs) {
     List<RunRef> unknownRuns =
         listed.running().stream()
             .map(PollResult.Running::run)
             .filter(run -> instance.find(run).isEmpty())
             .toList();
-    unknownRuns.forEach(run -> runController.stopUnknownRun(instance, run));
+    unknownRuns.forEach(run -> runController.stopUnknownRun(instance, run, nowMs));
     instance.hasUnknownRuns = !unknownRuns.isEmpty();
   }
 
@@ -238,7 +239,7 @@
     if (found.isPresent()) {
       end(instance, found.get(), ended.end(), nowMs);
     } else {
-      recordUnknownEnd(instance, ended);
+      recordUnknownEnd(instance, ended, nowMs);
     }
   }
 
@@ -246,9 +247,14 @@
    * Records the end of an unknown run: a former incarnation of this host started it, or this host
    * assumed its end too early.
    */
-  private void recordUnknownEnd(WorkerInstance instance, PollResult.Ended ended) {
+  private void recordUnknownEnd(WorkerInstance instance, PollResult.Ended ended, long nowMs) {
     unknownEndCount++;
-    String outcome = "run=%d end=%s".formatted(ended.run().number(), ended.end());
+    String outcome =
+        "run=%d end=%s %s"
+            .formatted(
+                ended.run().number(),
+                ended.end(),
+                runController.describeReport(ended.run(), nowMs));
     outbox.logDecision("unknownRunEnded", ended.run().task(), instance.id(), outcome);
   }
 
@@ -262,7 +268,7 @@
     }
     Room need = run.need;
     boolean wasNearlyFull = instance.isNearlyFullFor(need);
-    runController.endRun(instance, run, end, nowMs);
+    runController.endRun(instance, run, end, EndEvidence.LISTED, nowMs);
     if (wasNearlyFull) {
       roomAllocator.reserve(instance, need, nowMs);
     }
@@ -272,7 +278,8 @@
    * Ends a run that is missing in a list if it can't start any more: its stop was confirmed before
    * the list was requested, or the deadlines of its start calls had passed.
    */
-  private void endIfGone(WorkerInstance instance, HostedRun run, PollResult.Listed listed) {
+  private void endIfGone(
+      WorkerInstance instance, HostedRun run, PollResult.Listed listed, long nowMs) {
     boolean startsImpossible =
         switch (run.state) {
           case STOPPED -> instance.pollSentAtMs >= run.stopSentAtMs + timing.killGraceMs();
@@ -280,7 +287,7 @@
           case ORDERED, RUNNING -> false;
         };
     if (startsImpossible && !listed.contains(run.run)) {
-      runController.endRun(instance, run, RunEnd.STOPPED);
+      runController.endRun(instance, run, RunEnd.STOPPED, EndEvidence.NOT_LISTED, nowMs);
     }
   }
 
@@ -295,11 +302,17 @@
     // A start call to a former instance may be carried out after the lease of this one has expired.
     boolean allOver = instance.runs().stream().allMatch(run -> nowMs >= run.startCallsExpireAtMs);
     if (instance.refusesConnections && allOver) {
-      runController.endInstance(instance, "connections refused until its lease expired", nowMs);
+      runController.endInstance(
+          instance,
+          "connections refused until its lease expired",
+          EndEvidence.LEASE_EXPIRED,
+          nowMs);
       return;
     }
     instance.runs().stream()
         .filter(run -> nowMs >= run.startCallsExpireAtMs)
-        .forEach(run -> runController.endRun(instance, run, RunEnd.LOST));
+        .forEach(
+            run ->
+                runController.endRun(instance, run, RunEnd.LOST, EndEvidence.LEASE_EXPIRED, nowMs));
   }
 }
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -378,6 +378,10 @@
   private final class HostListener implements HostSessions.Listener {
     @Override
     public void onOpened(String hostId, SessionOpened opened) {
+      String outcome =
+          "session=%d incarnation=%d formerRunsOver=%s"
+              .formatted(opened.sessionId(), opened.hostIncarnation(), opened.formerRunsOver());
+      log.write("sessionOpened", hostId, outcome);
       sendZones(hostId);
       jobs.sessionOpened(hostId, opened.zone(), opened.hostIncarnation(), opened.formerRunsOver());
       loop.flushLater();
