An owner releases a stopped run of an ended job at its worker

Callers saw: a job that never ends. Its tasks had been on workers that crashed, so they were suspects, and a suspect goes only to a worker without another one. After its callers had left a few times, no worker took it any more.

Cause: a job that ends (its caller left, it was cancelled or failed) removes its tasks at once and stops their runs. The reports of their ends found no task, so the view of the worker kept the run and the suspect for good.

By a test: CrashingTasksTest.aSuspectWhoseJobHasEndedMakesRoomForOthers, which fails before with the seventh job on six workers.

Now the owner keeps the stopped runs until their host reports them, or its session is lost and its view with it.

--- a/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
@@ -58,6 +58,7 @@
   private final StragglerDetector stragglerDetector;
   private final Map<String, OwnedJob> jobs = new LinkedHashMap<>();
   private final Map<String, OwnedTask> activeTasks = new HashMap<>();
+  private final StoppingRuns stoppingRuns = new StoppingRuns();
   private final OwnerOutbox outbox = new OwnerOutbox();
   private final CrashHistory crashes = new CrashHistory();
   private long lastJobNumber;
@@ -232,6 +233,7 @@
     if (!hosts.remove(hostId)) {
       return;
     }
+    stoppingRuns.removeHost(hostId);
     long overAfterMs =
         mayHoldLease ? timing.runsOverAfterSilenceMs() : timing.runsOverAfterDisconnectMs();
     int uncertainRuns = 0;
@@ -299,6 +301,10 @@
 
   /** Handles a host's report that a run did not start. */
   public void runNotStarted(String hostId, RunNotStarted report, long nowMs) {
+    stoppingRuns
+        .remove(hostId, report.run())
+        .ifPresent(
+            task -> workerOf(task).ifPresent(worker -> worker.recordNotStarted(task.name())));
     OwnedTask task = findActive(hostId, report.run());
     if (task == null) {
       return;
@@ -332,11 +338,12 @@
 
   /** Handles a host's report that a run has ended. */
   public void runEnded(String hostId, RunEnded report, long nowMs) {
+    stoppingRuns.remove(hostId, report.run()).ifPresent(this::recordEnd);
     OwnedTask task = findActive(hostId, report.run());
     if (task == null) {
       return;
     }
-    workerOf(task).ifPresent(worker -> worker.recordEnd(task.name(), task.plan().need()));
+    recordEnd(task);
     switch (report.end()) {
       case DONE -> completeTask(task, report.ranMs(), nowMs);
       case FAILED -> handleFailure(task, report.run());
@@ -344,6 +351,10 @@
     }
   }
 
+  private void recordEnd(OwnedTask task) {
+    workerOf(task).ifPresent(worker -> worker.recordEnd(task.name(), task.plan().need()));
+  }
+
   private OwnedTask findActive(String hostId, RunRef run) {
     OwnedTask task = activeTasks.get(run.task());
     return task != null && task.isCurrentRun(hostId, run) ? task : null;
@@ -402,6 +413,7 @@
       placement.remove(task);
       if (activeTasks.remove(task.name()) != null && task.isOrdered()) {
         stopRun(task);
+        stoppingRuns.add(task);
       }
     }
     outbox.add(new OwnerEffect.AnswerJob(job.plan().jobId(), end));
--- a/core/src/test/java/io/hingehoist/run/owner/CrashingTasksTest.java
+++ b/core/src/test/java/io/hingehoist/run/owner/CrashingTasksTest.java
@@ -141,6 +141,20 @@
     assertTrue(ends().getFirst() instanceof JobEnd.Failed);
   }
 
+  /** Guards against a worker that stays closed to suspects after the job of one has ended. */
+  @Test
+  public void aSuspectWhoseJobHasEndedMakesRoomForOthers() {
+    for (int i = 1; i <= 7; i++) {
+      String job = "j" + i;
+      owner.workerCrashed(new WorkerCrashed("a" + i, 0, true, List.of(job + ".0.0")), 1_000 * i);
+      submit(job, 1, 1_000 * i);
+      assertTrue(hostByTask.containsKey(job + ".0.0"), job);
+      owner.drop(job, "caller disconnected");
+      RunRef run = runs.get(job + ".0.0");
+      owner.runEnded(hostByTask.get(run.task()), new RunEnded(run, RunEnd.STOPPED, 1), 1_000 * i);
+    }
+  }
+
   @Test
   public void otherTasksOfACrashedWorkerAreNotFailed() {
     submit("a", 1, 0);
