The report of a stopped run is not taken for that of the same job submitted again

Callers would see: a task that is started a second time while the first start is on its way. A job that a caller brings again to the owner it had left numbers its runs from 1 again. The host's report of the former run 1, which the owner had stopped, was taken for the end of the present run 1, and the task was ordered elsewhere.

Evidence: JobOwnerTest.theEndOfAStoppedRunIsNotThatOfTheSameJobSubmittedAgain fails before (run 2 is ordered). The owner keeps the runs that it stopped until they are reported, and a report of one of these goes no further.

--- a/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
@@ -301,10 +301,11 @@
 
   /** Handles a host's report that a run did not start. */
   public void runNotStarted(String hostId, RunNotStarted report, long nowMs) {
-    stoppingRuns
-        .remove(hostId, report.run())
-        .ifPresent(
-            task -> workerOf(task).ifPresent(worker -> worker.recordNotStarted(task.name())));
+    Optional<OwnedTask> stopping = stoppingRuns.remove(hostId, report.run());
+    if (stopping.isPresent()) {
+      workerOf(stopping.get()).ifPresent(worker -> worker.recordNotStarted(report.run().task()));
+      return;
+    }
     OwnedTask task = findActive(hostId, report.run());
     if (task == null) {
       return;
@@ -338,7 +339,12 @@
 
   /** Handles a host's report that a run has ended. */
   public void runEnded(String hostId, RunEnded report, long nowMs) {
-    stoppingRuns.remove(hostId, report.run()).ifPresent(this::recordEnd);
+    Optional<OwnedTask> stopping = stoppingRuns.remove(hostId, report.run());
+    if (stopping.isPresent()) {
+      // A job that was submitted again numbers its runs from 1, like the one that has ended.
+      recordEnd(stopping.get());
+      return;
+    }
     OwnedTask task = findActive(hostId, report.run());
     if (task == null) {
       return;
--- a/core/src/test/java/io/hingehoist/run/owner/JobOwnerTest.java
+++ b/core/src/test/java/io/hingehoist/run/owner/JobOwnerTest.java
@@ -115,6 +115,25 @@
     assertEquals(started().size(), 1);
   }
 
+  /** Guards against a second run: the report of a former run was taken for that of the present. */
+  @Test
+  public void theEndOfAStoppedRunIsNotThatOfTheSameJobSubmittedAgain() {
+    JobOwner owner = ownerWith("h1");
+    owner.submit(plan("j", 0, 2, step(1)), 0);
+    collectEffects(owner, 0);
+    owner.drop("j", "caller disconnected");
+    owner.submit(plan("j", 0, 2, step(1)), 10);
+    collectEffects(owner, 10);
+    assertEquals(started(), List.of(new RunRef("j.0.0", 1)));
+    owner.runEnded("h1", new RunEnded(new RunRef("j.0.0", 1), RunEnd.STOPPED, 0), 20);
+    sendRows(owner, "h1", SMALL, 2);
+    collectEffects(owner, 20);
+    assertEquals(started(), List.of());
+    owner.runEnded("h1", new RunEnded(new RunRef("j.0.0", 1), RunEnd.DONE, 100), 120);
+    collectEffects(owner, 120);
+    assertEquals(answers(), List.of(new JobEnd.Completed()));
+  }
+
   @Test
   public void startsAStepOnlyAfterItsDependencies() {
     JobOwner owner = ownerWith("h1");
