RunSimulation suspends boxes: their monotonic clocks stop

The simulation knew paused processes only, whose clocks go on. With the fault SUSPENDED_BOXES the boxes of owners and hosts are suspended for 50 ms to 5 s, once or in series with gaps of up to 60 ms, and several at a time. Owner and host get the times of their own box's clock only, and look for a sleep where OwnerNode and HostNode do. While an owner is suspended, connections of its callers break; it learns of that after waking.

Messages of one connection that a fault delayed could overtake one another where the fault ended between two steps. They are now delivered in order.

--- a/core/src/test/java/io/hingehoist/run/RunSimulation.java
+++ b/core/src/test/java/io/hingehoist/run/RunSimulation.java
@@ -23,11 +23,14 @@
 import io.hingehoist.run.host.ZoneFixtures;
 import io.hingehoist.run.owner.JobOwner;
 import io.hingehoist.run.owner.OwnerEffect;
+import io.hingehoist.run.owner.SleepCheck;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Queue;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
@@ -46,6 +49,10 @@
   private static final long MAX_LATE_CALL_DELAY_MS = 12_000;
   private static final long MIN_SLOW_CALL_MS = 20;
   private static final int SLOW_CALL_SPREAD_MS = 780;
+  private static final long MIN_SUSPEND_MS = 50;
+  private static final int SUSPEND_SPREAD_MS = 4_950;
+  private static final int SUSPEND_IN_SERIES_SPREAD_MS = 950;
+  private static final int MAX_SUSPEND_GAP_MS = 60;
   private static final Room NEED = new Room(1_600, 100, 0);
 
   /** Fewer than there are hosts, so that runs are ordered on recent and on older host views. */
@@ -58,29 +65,71 @@
     /** Calls to workers are carried out late, and some starts are refused. */
     SLOW_CALLS,
     /** Connections to a worker are refused while its runs continue. */
-    REFUSED_CONNECTIONS
+    REFUSED_CONNECTIONS,
+    /** Boxes of owners and hosts are suspended, once or in series, some at the same time. */
+    SUSPENDED_BOXES
   }
 
   private record ScheduledEvent(long atMs, long sequence, Runnable action) {}
 
-  final class OwnerBox {
+  /** A box whose process can be paused, and that can be suspended with its monotonic clock. */
+  private abstract class Box {
     final String id;
+    final BoxClock clock = new BoxClock();
+    long pausedUntilMs;
+
+    Box(String id) {
+      this.id = id;
+    }
+
+    long clockMs() {
+      return clock.nowMs(nowMs);
+    }
+
+    long stoppedUntilMs() {
+      return Math.max(pausedUntilMs, clock.suspendedUntilMs());
+    }
+
+    boolean isPaused() {
+      return nowMs < stoppedUntilMs();
+    }
+
+    boolean isSuspended() {
+      return nowMs < clock.suspendedUntilMs();
+    }
+  }
+
+  final class OwnerBox extends Box {
     JobOwner jobs;
+    SleepCheck sleepCheck = SleepCheck.create();
     final Map<String, Session> sessions = new HashMap<>();
-    long pausedUntilMs;
     long lastTickMs;
 
     OwnerBox(String id) {
-      this.id = id;
+      super(id);
       this.jobs = newOwner(id);
     }
 
-    boolean isPaused() {
-      return nowMs < pausedUntilMs;
+    void checkSleep() {
+      long sleptMs = clock.sleptMs();
+      if (sleptMs >= TIMING.ownerLeaseMs() && jobs.jobCount() > 0) {
+        List<Session> probed =
+            sessions.values().stream()
+                .filter(session -> !session.openRuns.isEmpty() && session.suspendedAtMs == 0)
+                .toList();
+        SessionProbe probe = new SessionProbe(sleepCheck.nextProbeNumber());
+        probed.forEach(session -> session.transmitToHost(probe));
+        sleepCheck.begin(probed.size(), clockMs());
+        trace.add(nowMs + " " + id + " mayHaveSlept ms=" + sleptMs);
+      }
     }
 
     void carryOutEffects() {
-      jobs.place(nowMs);
+      checkSleep();
+      if (sleepCheck.isPending()) {
+        return;
+      }
+      jobs.place(clockMs());
       for (OwnerEffect effect : jobs.drainEffects()) {
         switch (effect) {
           case OwnerEffect.SendToHost to -> {
@@ -97,13 +146,11 @@
     }
   }
 
-  final class HostBox {
-    final String id;
+  final class HostBox extends Box {
     final long startedAtMs;
     WorkerHost host;
     FakeWorker worker;
     final Map<Long, Session> sessions = new HashMap<>();
-    long pausedUntilMs;
     long version;
 
     /**
@@ -115,7 +162,7 @@
     long refusesConnectionsUntilMs;
 
     HostBox(String id) {
-      this.id = id;
+      super(id);
       this.startedAtMs = nowMs;
       this.worker = new FakeWorker(id + "-w1", id + ":1");
       restart();
@@ -124,17 +171,20 @@
     void restart() {
       host =
           ZoneFixtures.noneEvacuated(
-              WorkerHost.create(id, nowMs, "z", TIMING, 1_000 + nowMs, nowMs));
+              WorkerHost.create(id, nowMs, "z", TIMING, 1_000 + nowMs, clockMs()));
       sessions.values().forEach(session -> session.breakNow());
       sessions.clear();
     }
 
-    boolean isPaused() {
-      return nowMs < pausedUntilMs;
+    void checkSleep() {
+      long sleptMs = clock.sleptMs();
+      if (sleptMs > 0) {
+        host.mayHaveSlept(sleptMs, clockMs());
+      }
     }
 
     void carryOutEffects() {
-      host.publishWorkers(nowMs);
+      host.publishWorkers(clockMs());
       for (HostEffect effect : host.drainEffects()) {
         carryOut(effect);
       }
@@ -151,7 +201,7 @@
                 new StartResult.Unanswered(),
                 new StartResult.OtherInstance(),
                 new StartResult.ConnectionRefused(),
-                a -> caller.startCallCompleted(call.workerId(), call.run(), a, nowMs));
+                a -> caller.startCallCompleted(call.workerId(), call.run(), a, clockMs()));
         case HostEffect.StopCall call ->
             callWorker(
                 call.workerId(),
@@ -163,7 +213,7 @@
                 false,
                 false,
                 false,
-                a -> caller.stopCallCompleted(call.workerId(), call.run(), a, nowMs));
+                a -> caller.stopCallCompleted(call.workerId(), call.run(), a, clockMs()));
         case HostEffect.PollCall call -> respondToPoll(caller, call, nowMs + call.waitMs());
         case HostEffect.SendToOwner to -> {
           Session session = sessions.get(to.sessionId());
@@ -202,7 +252,7 @@
           new PollResult.Unanswered(),
           new PollResult.OtherInstance(),
           new PollResult.ConnectionRefused(),
-          a -> caller.pollCallCompleted(call.workerId(), a, nowMs));
+          a -> caller.pollCallCompleted(call.workerId(), a, clockMs()));
     }
 
     private StartResult start(FakeWorker target, HostEffect.StartCall call) {
@@ -279,9 +329,10 @@
               return;
             }
             if (isPaused()) {
-              reply(caller, pausedUntilMs - nowMs + 1, action);
+              reply(caller, stoppedUntilMs() - nowMs + 1, action);
               return;
             }
+            checkSleep();
             action.run();
             carryOutEffects();
           });
@@ -307,7 +358,12 @@
     final WorkerHost host;
     boolean openAtOwner = true;
     boolean openAtHost = true;
-    long lastHeardByOwnerMs = nowMs;
+    long lastHeardByOwnerMs;
+
+    /** Messages in order, as those that a fault delays must not overtake one another. */
+    final Queue<Runnable> inTransitToHost = new ArrayDeque<>();
+
+    final Queue<Runnable> inTransitToOwner = new ArrayDeque<>();
     long lastToHostMs;
     long lastToOwnerMs;
 
@@ -315,6 +371,7 @@
       this.owner = owner;
       this.box = box;
       this.host = box.host;
+      this.lastHeardByOwnerMs = owner.clockMs();
     }
 
     private long delayMs() {
@@ -327,8 +384,8 @@
 
     void toHost(Message message) {
       if (message instanceof StartRuns && openRuns.isEmpty()) {
-        firstOrderAtMs = nowMs;
-        transmitToHost(new OwnerBeat(nowMs, owner.jobs.follows(box.id)));
+        firstOrderAtMs = owner.clockMs();
+        transmitToHost(new OwnerBeat(owner.clockMs(), owner.jobs.follows(box.id)));
       }
       openRuns.apply(message);
       ownerStream.recordSent(message);
@@ -342,10 +399,8 @@
       int sentOnConnection = connection;
       long atMs = Math.max(Math.max(nowMs, cutEndsMs()) + delayMs(), lastToHostMs);
       lastToHostMs = atMs;
-      scheduleDelivery(
-          atMs,
-          () -> box.isPaused() ? box.pausedUntilMs : 0,
-          () -> receiveAtHost(message, sentOnConnection));
+      inTransitToHost.add(() -> receiveAtHost(message, sentOnConnection));
+      scheduleDelivery(atMs, box::stoppedUntilMs, () -> inTransitToHost.remove().run());
     }
 
     void toOwner(Message message) {
@@ -360,10 +415,8 @@
       int sentOnConnection = connection;
       long atMs = Math.max(Math.max(nowMs, cutEndsMs()) + delayMs(), lastToOwnerMs);
       lastToOwnerMs = atMs;
-      scheduleDelivery(
-          atMs,
-          () -> owner.isPaused() ? owner.pausedUntilMs : 0,
-          () -> receiveAtOwner(message, sentOnConnection));
+      inTransitToOwner.add(() -> receiveAtOwner(message, sentOnConnection));
+      scheduleDelivery(atMs, owner::stoppedUntilMs, () -> inTransitToOwner.remove().run());
     }
 
     private void scheduleDelivery(
@@ -385,14 +438,19 @@
         return;
       }
       hostStream.recordReceived(message).ifPresent(this::transmitToOwner);
+      if (!(message instanceof SessionAck)) {
+        box.checkSleep();
+      }
+      long hostMs = box.clockMs();
       switch (message) {
         case SessionAck ack -> hostStream.recordAcknowledged(ack.receivedCount());
         case OwnerBeat heartbeat ->
-            host.ownerHeartbeat(id, heartbeat.sentAtMs(), heartbeat.follows(), nowMs);
-        case OwnerWaiting update -> host.updateWaitingTasks(id, update, nowMs);
-        case StartRuns order -> host.startRuns(id, order, nowMs);
-        case StopRun order -> host.stopRun(id, order.run(), nowMs);
-        case SessionProof proof -> host.proofReceived(id, proof.number(), proof.sentAtMs(), nowMs);
+            host.ownerHeartbeat(id, heartbeat.sentAtMs(), heartbeat.follows(), hostMs);
+        case OwnerWaiting update -> host.updateWaitingTasks(id, update, hostMs);
+        case StartRuns order -> host.startRuns(id, order, hostMs);
+        case StopRun order -> host.stopRun(id, order.run(), hostMs);
+        case SessionProof proof -> host.proofReceived(id, proof.number(), proof.sentAtMs(), hostMs);
+        case SessionProbe probe -> host.probeReceived(id, probe.number(), hostMs);
         default -> throw new IllegalStateException("not a message to a host: " + message);
       }
       box.carryOutEffects();
@@ -402,24 +460,33 @@
       if (!openAtOwner || sentOnConnection != connection) {
         return;
       }
-      lastHeardByOwnerMs = nowMs;
+      lastHeardByOwnerMs = owner.clockMs();
       openRuns.apply(message);
       ownerStream.recordReceived(message).ifPresent(this::transmitToHost);
+      long ownerMs = owner.clockMs();
       switch (message) {
         case SessionAck ack -> ownerStream.recordAcknowledged(ack.receivedCount());
         case SessionOpened opened ->
             owner.jobs.sessionOpened(
                 box.id, opened.zone(), opened.hostIncarnation(), opened.formerRunsOver());
-        case SessionProbe probe -> toHost(new SessionProof(probe.number(), nowMs));
-        case HostRows rows -> owner.jobs.hostRowsReceived(box.id, rows, nowMs);
-        case RunEnded ended -> owner.jobs.runEnded(box.id, ended, nowMs);
-        case WorkerCrashed report -> owner.jobs.workerCrashed(report, nowMs);
-        case RunNotStarted report -> owner.jobs.runNotStarted(box.id, report, nowMs);
+        case SessionProbe probe -> prove(probe.number());
+        case SessionProof proof -> owner.sleepCheck.proofReceived(proof.number());
+        case HostRows rows -> owner.jobs.hostRowsReceived(box.id, rows, ownerMs);
+        case RunEnded ended -> owner.jobs.runEnded(box.id, ended, ownerMs);
+        case WorkerCrashed report -> owner.jobs.workerCrashed(report, ownerMs);
+        case RunNotStarted report -> owner.jobs.runNotStarted(box.id, report, ownerMs);
         default -> throw new IllegalStateException("not a message to an owner: " + message);
       }
       owner.carryOutEffects();
     }
 
+    private void prove(long number) {
+      owner.checkSleep();
+      if (!owner.sleepCheck.isPending()) {
+        toHost(new SessionProof(number, owner.clockMs()));
+      }
+    }
+
     /** The connection loses all further messages, and each end detects this by itself. */
     void fallSilent() {
       if (silent) {
@@ -432,8 +499,10 @@
     }
 
     private void suspendAtOwner() {
-      if (silent && openAtOwner && suspendedAtMs == 0) {
-        suspendedAtMs = nowMs;
+      if (owner.isSuspended()) {
+        after(owner.clock.suspendedUntilMs() - nowMs + 1, this::suspendAtOwner);
+      } else if (silent && openAtOwner && suspendedAtMs == 0) {
+        suspendedAtMs = owner.clockMs();
         owner.jobs.sessionSuspended(box.id);
         owner.carryOutEffects();
       }
@@ -455,27 +524,28 @@
       connection++;
       silent = false;
       suspendedAtMs = 0;
-      lastHeardByOwnerMs = nowMs;
+      lastHeardByOwnerMs = owner.clockMs();
       ownerStream.recordAcknowledged(hostStream.receivedCount());
       hostStream.recordAcknowledged(ownerStream.receivedCount());
-      transmitToHost(new OwnerBeat(nowMs, owner.jobs.follows(box.id)));
+      transmitToHost(new OwnerBeat(owner.clockMs(), owner.jobs.follows(box.id)));
       ownerStream.unacknowledged().forEach(this::transmitToHost);
       hostStream.unacknowledged().forEach(this::transmitToOwner);
       owner.jobs.sessionResumed(box.id);
       owner.carryOutEffects();
-      host.sessionResumed(id, nowMs);
+      host.sessionResumed(id, box.clockMs());
       box.carryOutEffects();
     }
 
     void closedByHost() {
       openAtHost = false;
       if (!silent) {
-        at(Math.max(nowMs, cutEndsMs()) + 2, () -> endAtOwner(false));
+        long atMs = Math.max(nowMs, cutEndsMs()) + 2;
+        scheduleDelivery(atMs, owner.clock::suspendedUntilMs, () -> endAtOwner(false));
       }
     }
 
     void endAtOwner(boolean mayHoldLease) {
-      endAtOwner(mayHoldLease, nowMs);
+      endAtOwner(mayHoldLease, owner.clockMs());
     }
 
     private void endAtOwner(boolean mayHoldLease, long leaseRenewedAtMs) {
@@ -493,16 +563,17 @@
      * Sends a heartbeat, or ends the session once the owner's lease at the host may have expired.
      */
     void sendHeartbeatOrEnd() {
+      long ownerMs = owner.clockMs();
       if (suspendedAtMs > 0) {
-        if (nowMs - suspendedAtMs >= TIMING.ownerLeaseMs()) {
+        if (ownerMs - suspendedAtMs >= TIMING.ownerLeaseMs()) {
           endAtOwner(true, suspendedAtMs);
         }
-      } else if (nowMs - silentSinceMs() >= sessionTimeoutMs()) {
+      } else if (ownerMs - silentSinceMs() >= sessionTimeoutMs()) {
         endAtOwner(true);
-      } else if (nowMs
+      } else if (ownerMs
               % (openRuns.isEmpty() ? RunTiming.IDLE_HEARTBEAT_INTERVAL_MS : HEARTBEAT_INTERVAL_MS)
           < 25) {
-        toHost(new OwnerBeat(nowMs, owner.jobs.follows(box.id)));
+        toHost(new OwnerBeat(owner.clockMs(), owner.jobs.follows(box.id)));
       }
     }
 
@@ -518,7 +589,7 @@
       if (openAtHost && box.host == host && !box.isPaused()) {
         openAtHost = false;
         box.sessions.remove(id);
-        host.sessionEnded(id, "closed", nowMs);
+        host.sessionEnded(id, "closed", box.clockMs());
         box.carryOutEffects();
       }
     }
@@ -534,6 +605,9 @@
     String state = "open";
     int attempt;
 
+    /** Whether the caller has disconnected from its owner, which may not know. */
+    boolean callerLeft;
+
     SubmittedJob(JobPlan plan, int ownerIndex) {
       this.plan = plan;
       this.ownerIndex = ownerIndex;
@@ -550,6 +624,8 @@
 
   private final Random refusalRandom;
 
+  private final Random suspendRandom;
+
   private final Set<Fault> faults;
   private final PriorityQueue<ScheduledEvent> timeline =
       new PriorityQueue<>(
@@ -579,6 +655,7 @@
     this.silenceRandom = new Random(~seed);
     this.slowCallRandom = new Random(31 * seed + 7);
     this.refusalRandom = new Random(31 * seed + 11);
+    this.suspendRandom = new Random(31 * seed + 13);
     this.faults = Set.copyOf(faults);
     this.lateCallPermille = random.nextInt(60);
     for (int i = 0; i < 3; i++) {
@@ -615,6 +692,7 @@
         maybeSilenceConnections();
         maybeSlowCalls();
         maybeRefuseConnections();
+        maybeSuspendBoxes();
         maybeSubmitJob();
       } else {
         lateCallPermille = 0;
@@ -644,7 +722,7 @@
       return;
     }
     trace.add(nowMs + " submit " + job.plan.jobId() + " to " + owner.id);
-    owner.jobs.submit(job.plan, nowMs);
+    owner.jobs.submit(job.plan, owner.clockMs());
     owner.carryOutEffects();
   }
 
@@ -655,6 +733,7 @@
         () -> {
           if (job.state.equals("open") && job.attempt == attempt) {
             job.ownerIndex = (job.ownerIndex + 1) % owners.size();
+            job.callerLeft = false;
             submit(job);
           }
         });
@@ -662,7 +741,7 @@
 
   private void answered(OwnerBox owner, String jobId, JobEnd end) {
     SubmittedJob job = jobs.get(jobId);
-    if (owners.get(job.ownerIndex) != owner) {
+    if (owners.get(job.ownerIndex) != owner || job.callerLeft) {
       return;
     }
     if (end instanceof JobEnd.Dropped) {
@@ -704,6 +783,78 @@
     }
   }
 
+  private void maybeSuspendBoxes() {
+    if (!faults.contains(Fault.SUSPENDED_BOXES) || suspendRandom.nextInt(1_000) >= 5) {
+      return;
+    }
+    int count = suspendRandom.nextInt(3) == 0 ? 2 + suspendRandom.nextInt(3) : 1;
+    for (int i = 0; i < count; i++) {
+      int index = suspendRandom.nextInt(owners.size());
+      Box box = suspendRandom.nextBoolean() ? owners.get(index) : boxes.get(index);
+      if (suspendRandom.nextBoolean()) {
+        suspend(box, MIN_SUSPEND_MS + suspendRandom.nextInt(SUSPEND_SPREAD_MS), 0);
+      } else {
+        suspend(box, suspendInSeriesMs(), 1 + suspendRandom.nextInt(6));
+      }
+    }
+  }
+
+  private long suspendInSeriesMs() {
+    return MIN_SUSPEND_MS + suspendRandom.nextInt(SUSPEND_IN_SERIES_SPREAD_MS);
+  }
+
+  private void suspend(Box box, long durationMs, int further) {
+    if (box.isSuspended()) {
+      return;
+    }
+    trace.add(nowMs + " suspend " + box.id + " for " + durationMs);
+    if (box instanceof OwnerBox owner) {
+      breakConnectionsOfCallers(owner, durationMs);
+    }
+    box.clock.suspend(durationMs, nowMs);
+    if (further > 0) {
+      at(
+          box.clock.suspendedUntilMs() + 1 + suspendRandom.nextInt(MAX_SUSPEND_GAP_MS),
+          () -> suspend(box, suspendInSeriesMs(), further - 1));
+    }
+  }
+
+  /** A suspended owner learns only after it has woken that connections of its callers broke. */
+  private void breakConnectionsOfCallers(OwnerBox owner, long suspendedMs) {
+    for (SubmittedJob job : jobs.values()) {
+      if (job.state.equals("open") && owners.get(job.ownerIndex) == owner && !job.callerLeft) {
+        if (suspendRandom.nextBoolean()) {
+          after(suspendRandom.nextLong(suspendedMs), () -> callerLeaves(job, owner));
+        }
+      }
+    }
+  }
+
+  private void callerLeaves(SubmittedJob job, OwnerBox owner) {
+    if (job.callerLeft || !job.state.equals("open") || owners.get(job.ownerIndex) != owner) {
+      return;
+    }
+    job.callerLeft = true;
+    resubmitLater(job);
+    long wakesInMs = owner.clock.suspendedUntilMs() - nowMs;
+    long retransmissionMs = suspendRandom.nextLong(Math.max(1, wakesInMs));
+    learnThatCallerLeft(job, owner, owner.jobs, wakesInMs + retransmissionMs);
+  }
+
+  private void learnThatCallerLeft(
+      SubmittedJob job, OwnerBox owner, JobOwner process, long delayMs) {
+    after(
+        delayMs,
+        () -> {
+          if (owner.isPaused()) {
+            learnThatCallerLeft(job, owner, process, owner.stoppedUntilMs() - nowMs + 1);
+          } else if (owner.jobs == process) {
+            process.drop(job.plan.jobId(), "left");
+            owner.carryOutEffects();
+          }
+        });
+  }
+
   private void maybeInjectFault() {
     if (random.nextInt(1_000) >= 12) {
       return;
@@ -714,7 +865,7 @@
       case 0 -> cutLink(owner, box);
       case 1 -> pause(owner);
       case 2 -> pause(box);
-      case 3 -> box.restart();
+      case 3 -> restart(box);
       case 4 -> killOwner(owner);
       case 5 -> crashWorker(box);
       case 6 -> disconnectCaller(owner);
@@ -722,6 +873,13 @@
     }
   }
 
+  private static void restart(HostBox box) {
+    if (!box.isSuspended()) {
+      box.clock.sleptMs();
+      box.restart();
+    }
+  }
+
   private static JobOwner newOwner(String id) {
     return JobOwner.create(TIMING, id, "z", FOLLOWED_HOSTS);
   }
@@ -744,6 +902,11 @@
 
   /** The callers of a killed owner notice immediately, as their connections are closed. */
   private void killOwner(OwnerBox owner) {
+    if (owner.isSuspended()) {
+      return;
+    }
+    owner.clock.sleptMs();
+    owner.sleepCheck = SleepCheck.create();
     owner.jobs = newOwner(owner.id);
     List.copyOf(owner.sessions.values())
         .forEach(
@@ -783,7 +946,7 @@
 
   private void tickAll() {
     for (OwnerBox owner : owners) {
-      if (!owner.isPaused() && nowMs - owner.lastTickMs >= 25) {
+      if (!owner.isPaused() && owner.clockMs() - owner.lastTickMs >= 25) {
         tick(owner);
       }
     }
@@ -795,22 +958,25 @@
   }
 
   private void tick(OwnerBox owner) {
-    boolean wasPaused = nowMs - owner.lastTickMs >= TIMING.ownerLeaseMs();
-    owner.lastTickMs = nowMs;
-    if (wasPaused) {
+    owner.checkSleep();
+    long ownerMs = owner.clockMs();
+    boolean wasPaused = ownerMs - owner.lastTickMs >= TIMING.ownerLeaseMs();
+    owner.lastTickMs = ownerMs;
+    if (wasPaused || owner.sleepCheck.hasSlept(ownerMs)) {
       owner.jobs.dropAll("owner was paused");
       List.copyOf(owner.sessions.values()).forEach(session -> session.endAtOwner(true));
     }
     for (Session session : List.copyOf(owner.sessions.values())) {
       session.sendHeartbeatOrEnd();
     }
-    owner.jobs.onTick(nowMs);
+    owner.jobs.onTick(ownerMs);
     owner.carryOutEffects();
   }
 
   private void tick(HostBox box) {
+    box.checkSleep();
     if (box.worker.up && nowMs % 500 == 1) {
-      box.host.workerHeartbeat(box.worker.info(false, ++box.version, nowMs), nowMs);
+      box.host.workerHeartbeat(box.worker.info(false, ++box.version, nowMs), box.clockMs());
     }
     for (OwnerBox owner : owners) {
       boolean isCut = cuts.getOrDefault(owner.id + box.id, 0L) > nowMs;
@@ -820,7 +986,7 @@
         connect(owner, box);
       }
     }
-    box.host.onTick(nowMs);
+    box.host.onTick(box.clockMs());
     box.carryOutEffects();
   }
 
@@ -832,9 +998,9 @@
     }
     owner.sessions.put(box.id, session);
     box.sessions.put(session.id, session);
-    box.host.sessionOpened(session.id, owner.id, nowMs);
+    box.host.sessionOpened(session.id, owner.id, box.clockMs());
     // An owner sends a heartbeat immediately when a session opens.
-    session.toHost(new OwnerBeat(nowMs, owner.jobs.follows(box.id)));
+    session.toHost(new OwnerBeat(owner.clockMs(), owner.jobs.follows(box.id)));
   }
 
   private void checkInvariants() {
--- a/core/src/test/java/io/hingehoist/run/RunSimulationTest.java
+++ b/core/src/test/java/io/hingehoist/run/RunSimulationTest.java
@@ -35,6 +35,11 @@
     runAll(Set.of(Fault.REFUSED_CONNECTIONS));
   }
 
+  @Test
+  public void noTaskRunsTwiceWhileBoxesAreSuspended() {
+    runAll(Set.of(Fault.SUSPENDED_BOXES));
+  }
+
   @Test
   public void noTaskRunsTwiceWithAllFaults() {
     runAll(EnumSet.allOf(Fault.class));
