A host answers an owner's probe only if the owner's lease is valid

Callers would see a task run twice at the same time: an owner whose box was suspended for longer than its lease went on with jobs that their callers had submitted to another owner by then.

Cause: after a sleep an owner asks the hosts where it believes to have runs. A host answered with a proof as long as the session was open. A session without runs stays open for 2.5 s, well beyond its lease of 650 ms, and one with runs until the next tick. So a host where the owner's last run had ended during the sleep vouched for a lease that was over, and the owner dropped nothing.

Evidence: OwnerProbeTest failed before in two of three tests ("expected [0] but found [1]" proofs).

The answer now depends on the lease, which is what the owner asks about. An owner whose time of day was only set forward finds its lease valid: where it has runs it renews the lease every 200 ms.

--- a/core/src/main/java/io/hingehoist/run/host/OwnerSession.java
+++ b/core/src/main/java/io/hingehoist/run/host/OwnerSession.java
@@ -93,8 +93,8 @@
     return matches;
   }
 
-  /** Returns whether runs of the owner may be started. */
-  boolean allowsStarts(long nowMs) {
+  /** Returns whether the lease is verified and has not expired, so that runs may be started. */
+  boolean isLeaseValid(long nowMs) {
     return !isUnverified() && !lease.isExpired(nowMs);
   }
 
--- a/core/src/main/java/io/hingehoist/run/host/OwnerSessionManager.java
+++ b/core/src/main/java/io/hingehoist/run/host/OwnerSessionManager.java
@@ -151,9 +151,12 @@
     }
   }
 
-  /** Answers an owner's probe unless the session is unverified here too. */
+  /**
+   * Answers an owner's probe if the owner's lease is valid and verified. A session without runs
+   * outlasts its lease, so that it is open proves nothing.
+   */
   void probeReceived(OwnerSession session, long number, long nowMs) {
-    if (!session.isUnverified()) {
+    if (session.isLeaseValid(nowMs)) {
       outbox.send(session.id, new SessionProof(number, nowMs));
     }
   }
--- a/core/src/main/java/io/hingehoist/run/host/RunController.java
+++ b/core/src/main/java/io/hingehoist/run/host/RunController.java
@@ -70,7 +70,7 @@
   /** Starts the runs of an order that are allowed to start, and refuses the others. */
   void start(OwnerSession session, StartRuns order, long nowMs) {
     session.lastOrder = Math.max(session.lastOrder, order.order());
-    if (!session.allowsStarts(nowMs)) {
+    if (!session.isLeaseValid(nowMs)) {
       // A heartbeat in transit may still renew the lease, so each run has to be refused explicitly.
       order.runs().forEach(run -> refuse(session.id, run, order.workerId(), RunRefusal.NOT_READY));
       return;
@@ -249,7 +249,7 @@
         && !instance.silent
         && bounds.allowsStart(instance, nowMs)
         && startGuard.zoneAllowsStarts()
-        && sessions.find(run.sessionId).filter(s -> s.allowsStarts(nowMs)).isPresent();
+        && sessions.find(run.sessionId).filter(s -> s.isLeaseValid(nowMs)).isPresent();
   }
 
   private void repeatStart(WorkerInstance instance, HostedRun run, long nowMs) {
