A sleep of a host voids the clock offsets of its owners

Callers would see a task run twice: after a suspension of a host's box, an order that was delayed on its way, with the heartbeat before it, was carried out although its owner had counted the run as over.

Cause: a host counts an owner's lease from the sending of a heartbeat, by the offset between both clocks. A sleep stops the host's clock, so the offset shrinks by its length. The proof after the sleep only ever raised the offset, so the former one stayed, and leases counted from the receipt of heartbeats.

Evidence: HostSleepTest.aHeartbeatDelayedAfterTheProofDoesNotExtendTheLease failed before: a heartbeat that was 2 s in transit renewed the lease, and the order behind it started a run ("expected [0] but found [1]" start calls). The new test of PeerLeaseTest fails if the sleep does not reset the offset ("expected [true] but found [false]").

A session that may have slept now forgets the offset. No heartbeat counts until the proof, and the proof yields an offset from after the sleep.

--- a/core/src/main/java/io/hingehoist/run/host/OwnerSession.java
+++ b/core/src/main/java/io/hingehoist/run/host/OwnerSession.java
@@ -68,6 +68,7 @@
   /** Marks the lease as unverified until the owner answers a probe. */
   void markUnverified(long nowMs) {
     unverified = true;
+    lease.onSuspectedSleep();
     unverifiedSinceMs = nowMs;
   }
 
--- a/core/src/main/java/io/hingehoist/run/host/PeerLease.java
+++ b/core/src/main/java/io/hingehoist/run/host/PeerLease.java
@@ -30,6 +30,14 @@
     expiresAtMs = Math.max(expiresAtMs, sentAtMs + clockOffsetMs + leaseMs);
   }
 
+  /**
+   * Handles a possible sleep of this box, which stops the local clock and so reduces the clock
+   * offset. The answer to a probe that is sent now yields the new one.
+   */
+  void onSuspectedSleep() {
+    offsetKnown = false;
+  }
+
   /**
    * Handles the answer to a probe. It was sent after the probe, which gives a better clock offset
    * if the first heartbeat was delayed.
--- a/core/src/test/java/io/hingehoist/run/host/HostSleepTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/HostSleepTest.java
@@ -108,4 +108,16 @@
     fixture.collectEffects(1_021);
     assertEquals(sent(SessionProof.class), List.of());
   }
+
+  @Test
+  public void aHeartbeatDelayedAfterTheProofDoesNotExtendTheLease() {
+    host.proofReceived(SESSION, probeNumber(), 5_024, 1_024);
+    host.mayHaveSlept(2_000, 1_030);
+    fixture.collectEffects(1_030);
+    host.proofReceived(SESSION, probeNumber(), 7_034, 1_034);
+    // Sent 50 ms after the proof, 2,000 ms in transit.
+    host.ownerHeartbeat(SESSION, 7_084, true, 3_084);
+    start(3_084, ORDERED);
+    assertEquals(count(HostEffect.StartCall.class), 0);
+  }
 }
--- a/core/src/test/java/io/hingehoist/run/host/PeerLeaseTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/PeerLeaseTest.java
@@ -58,4 +58,16 @@
     lease.onHeartbeat(CLOCK_OFFSET_MS + 285, 3_100);
     assertTrue(lease.isExpired(3_100));
   }
+
+  @Test
+  public void aDelayedHeartbeatDoesNotExtendTheLeaseAfterASleep() {
+    long sleptMs = 4_000;
+    long offsetAfterSleepMs = CLOCK_OFFSET_MS + sleptMs;
+    PeerLease lease = new PeerLease(LEASE_MS, 100);
+    lease.onHeartbeat(CLOCK_OFFSET_MS + 100, 101);
+    lease.onSuspectedSleep();
+    lease.onProbeAnswer(200, offsetAfterSleepMs + 202, 204);
+    lease.onHeartbeat(offsetAfterSleepMs + 400, 3_000);
+    assertTrue(lease.isExpired(3_000));
+  }
 }
