A worker's lease is not renewed on the strength of an unverified session

Callers could see a task run twice: after a suspension of a host's box, the host went on renewing the lease of a worker for the runs of an owner that may have given the host up.

Cause: the lease of a worker is bounded by the end that is due to the runs of each owner, which follows from the owner's lease. That lease is recorded on a clock that did not count the sleep, so until the proof, or until the session was closed after 300 ms, renewals went up to the sleep's length too far. Each further sleep of a series did so again.

Evidence: HostSleepTest.theLeaseOfAWorkerIsNotRenewedForAnOwnerThatIsUnverified failed before: 4 s of sleep after an owner's last heartbeat, a poll renewed the lease for its run ("expected [0] but found [501825]").

A lease now keeps the sum of the sleeps suspected since the last proof, and the bound counts from the earliest time at which it may end. If the time of day was only set forward, no run is stopped: one proof, a round trip, sets the sum to zero, and a worker's lease of 866 ms outlasts that.

--- a/core/src/main/java/io/hingehoist/run/host/LeaseBounds.java
+++ b/core/src/main/java/io/hingehoist/run/host/LeaseBounds.java
@@ -42,7 +42,7 @@
    * then resubmit their jobs elsewhere.
    */
   long ownerRunsEndByMs(OwnerSession session) {
-    return session.lease.expiresAtMs() + timing.ownerLeaseMs() - MARGIN_MS;
+    return session.lease.earliestExpiryMs() + timing.ownerLeaseMs() - MARGIN_MS;
   }
 
   /** Returns when a run that is stopped now must be over. */
--- a/core/src/main/java/io/hingehoist/run/host/OwnerSession.java
+++ b/core/src/main/java/io/hingehoist/run/host/OwnerSession.java
@@ -66,9 +66,9 @@
   }
 
   /** Marks the lease as unverified until the owner answers a probe. */
-  void markUnverified(long nowMs) {
+  void markUnverified(long sleptMs, long nowMs) {
     unverified = true;
-    lease.onSuspectedSleep();
+    lease.onSuspectedSleep(sleptMs);
     unverifiedSinceMs = nowMs;
   }
 
--- a/core/src/main/java/io/hingehoist/run/host/OwnerSessionManager.java
+++ b/core/src/main/java/io/hingehoist/run/host/OwnerSessionManager.java
@@ -137,7 +137,7 @@
     outbox.logDecision("mayHaveSlept", "", hostId, "ms=" + sleptMs);
     for (OwnerSession session : sessions.all()) {
       probeNumber++;
-      session.markUnverified(nowMs);
+      session.markUnverified(sleptMs, nowMs);
       session.recordProbe(probeNumber, nowMs);
       outbox.send(session.id, new SessionProbe(probeNumber));
     }
--- a/core/src/main/java/io/hingehoist/run/host/PeerLease.java
+++ b/core/src/main/java/io/hingehoist/run/host/PeerLease.java
@@ -16,6 +16,7 @@
   private boolean offsetKnown;
   private long clockOffsetMs;
   private long expiresAtMs;
+  private long suspectedSleepMs;
 
   PeerLease(long leaseMs, long openedAtMs) {
     this.leaseMs = leaseMs;
@@ -31,11 +32,12 @@
   }
 
   /**
-   * Handles a possible sleep of this box, which stops the local clock and so reduces the clock
-   * offset. The answer to a probe that is sent now yields the new one.
+   * Handles a possible sleep of this box, which stops the local clock: the clock offset is smaller
+   * and the lease ends earlier than recorded. The answer to a probe that is sent now renews both.
    */
-  void onSuspectedSleep() {
+  void onSuspectedSleep(long sleptMs) {
     offsetKnown = false;
+    suspectedSleepMs += sleptMs;
   }
 
   /**
@@ -46,6 +48,7 @@
     long earliestOffsetMs = probeSentAtMs - sentAtMs;
     clockOffsetMs = offsetKnown ? Math.max(clockOffsetMs, earliestOffsetMs) : earliestOffsetMs;
     offsetKnown = true;
+    suspectedSleepMs = 0;
     expiresAtMs =
         Math.max(expiresAtMs, sentAtMs + Math.min(clockOffsetMs, nowMs - sentAtMs) + leaseMs);
   }
@@ -55,9 +58,12 @@
     return nowMs - (expiresAtMs - leaseMs);
   }
 
-  /** Returns when the lease expires unless another heartbeat arrives. */
-  long expiresAtMs() {
-    return expiresAtMs;
+  /**
+   * Returns when the lease expires unless another heartbeat arrives, if all sleeps suspected since
+   * the last proof took place.
+   */
+  long earliestExpiryMs() {
+    return expiresAtMs - suspectedSleepMs;
   }
 
   /** Returns the remaining time of the lease; 0 or less once it has expired. */
--- a/core/src/test/java/io/hingehoist/run/host/HostSleepTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/HostSleepTest.java
@@ -1,6 +1,7 @@
 package io.hingehoist.run.host;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import io.hingehoist.message.Message;
 import io.hingehoist.message.Room;
@@ -120,4 +121,17 @@
     start(3_084, ORDERED);
     assertEquals(count(HostEffect.StartCall.class), 0);
   }
+
+  private long renewedLeaseDeadlineMs(long nowMs, List<RunRef> running) {
+    fixture.answerPoll("w", nowMs, running);
+    return fixture.all(HostEffect.PollCall.class).getFirst().deadlineMs();
+  }
+
+  @Test
+  public void theLeaseOfAWorkerIsNotRenewedForAnOwnerThatIsUnverified() {
+    long probeNumber = probeNumber();
+    assertEquals(renewedLeaseDeadlineMs(1_025, List.of(RUNNING)), 0);
+    host.proofReceived(SESSION, probeNumber, 1_027, 1_027);
+    assertTrue(renewedLeaseDeadlineMs(1_075, List.of(RUNNING)) > 0);
+  }
 }
--- a/core/src/test/java/io/hingehoist/run/host/PeerLeaseTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/PeerLeaseTest.java
@@ -1,5 +1,6 @@
 package io.hingehoist.run.host;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
@@ -65,9 +66,19 @@
     long offsetAfterSleepMs = CLOCK_OFFSET_MS + sleptMs;
     PeerLease lease = new PeerLease(LEASE_MS, 100);
     lease.onHeartbeat(CLOCK_OFFSET_MS + 100, 101);
-    lease.onSuspectedSleep();
+    lease.onSuspectedSleep(sleptMs);
     lease.onProbeAnswer(200, offsetAfterSleepMs + 202, 204);
     lease.onHeartbeat(offsetAfterSleepMs + 400, 3_000);
     assertTrue(lease.isExpired(3_000));
   }
+
+  @Test
+  public void aLeaseEndsEarlierByAllSleepsSuspectedSinceTheLastProof() {
+    PeerLease lease = new PeerLease(LEASE_MS, 100);
+    lease.onSuspectedSleep(200);
+    lease.onSuspectedSleep(150);
+    assertEquals(lease.earliestExpiryMs(), 100 + LEASE_MS - 350);
+    lease.onProbeAnswer(120, CLOCK_OFFSET_MS + 122, 124);
+    assertEquals(lease.earliestExpiryMs(), 120 + LEASE_MS);
+  }
 }
