A sleep brings forward the ends that a host owes to other processes

Callers could see a task run twice: a run that a host had been told to stop, or whose owner it had lost, was kept alive for longer by a suspension of the host's box, if the worker had runs of other owners too.

Cause: the time by which a stopped run must be over is recorded on the host's clock, which does not count a sleep. After one, leases were granted up to the recorded time, too late by the sleep. The same holds for the recorded end of the lease itself, up to which a start call on that worker was sent.

Evidence: HostSleepTest.aStoppedRunIsNotKeptAliveForLongerByASleep failed before: 866 ms after the stop of a run, 800 of them asleep, its end was due, and a poll 41 ms before granted a lease of 775 ms ("deadline 501830").

A possible sleep now brings these times forward by its length. If the time of day was only set forward, the runs concerned, which are being stopped anyway, lose their lease earlier. When runs count as over by themselves is decided as before, by the later time.

--- a/core/src/main/java/io/hingehoist/run/host/HostedRun.java
+++ b/core/src/main/java/io/hingehoist/run/host/HostedRun.java
@@ -64,6 +64,13 @@
     mustEndByMs = Math.min(mustEndByMs, atMs);
   }
 
+  /** Handles a possible sleep of this box, which the clock of the recorded time did not count. */
+  void onSuspectedSleep(long sleptMs) {
+    if (mustEndByMs != Long.MAX_VALUE) {
+      mustEndByMs -= sleptMs;
+    }
+  }
+
   long mustEndByMs() {
     return mustEndByMs;
   }
--- a/core/src/main/java/io/hingehoist/run/host/LeaseBounds.java
+++ b/core/src/main/java/io/hingehoist/run/host/LeaseBounds.java
@@ -52,7 +52,7 @@
 
   /** Returns whether a run that starts now can get a lease that is long enough. */
   boolean allowsStart(WorkerInstance instance, long nowMs) {
-    long endMs = Math.max(instance.runsOverAtMs(), latestEndMs(instance, nowMs));
+    long endMs = Math.max(instance.runsOverAtEarliestMs(), latestEndMs(instance, nowMs));
     return endMs - nowMs >= MIN_START_LEASE_MS;
   }
 }
--- a/core/src/main/java/io/hingehoist/run/host/OwnerSessionManager.java
+++ b/core/src/main/java/io/hingehoist/run/host/OwnerSessionManager.java
@@ -132,9 +132,13 @@
     }
   }
 
-  /** Prevents starts on every session until its owner has answered a probe. */
-  void markAllUnverified(long sleptMs, long nowMs) {
+  /**
+   * Handles a possible sleep of this box: prevents starts on every session until its owner has
+   * answered a probe, and brings forward the times by which runs must be over.
+   */
+  void mayHaveSlept(long sleptMs, long nowMs) {
     outbox.logDecision("mayHaveSlept", "", hostId, "ms=" + sleptMs);
+    instances.all().forEach(instance -> instance.onSuspectedSleep(sleptMs));
     for (OwnerSession session : sessions.all()) {
       probeNumber++;
       session.markUnverified(sleptMs, nowMs);
--- a/core/src/main/java/io/hingehoist/run/host/WorkerHost.java
+++ b/core/src/main/java/io/hingehoist/run/host/WorkerHost.java
@@ -213,7 +213,7 @@
    * Handles a possible sleep of this box: no owner's lease counts until the owner answers a probe.
    */
   public void mayHaveSlept(long sleptMs, long nowMs) {
-    sessionManager.markAllUnverified(sleptMs, nowMs);
+    sessionManager.mayHaveSlept(sleptMs, nowMs);
   }
 
   /** Handles an owner's proof that its session still exists. */
--- a/core/src/main/java/io/hingehoist/run/host/WorkerInstance.java
+++ b/core/src/main/java/io/hingehoist/run/host/WorkerInstance.java
@@ -32,6 +32,10 @@
   private long clockMs;
   private long clockReadAtMs;
   private long runsOverAtMs;
+
+  /** The same, less the sleeps of this box that were suspected since the lease was granted. */
+  private long runsOverAtEarliestMs;
+
   long lastSeen;
   boolean silent;
 
@@ -109,12 +113,22 @@
    * Renews the lease.
    *
    * @param overAtMs when all runs must be over unless the lease is renewed again
-   * @return the deadline of a call sent now; that of the previous lease if it is later, as a
-   *     worker's lease never becomes shorter
+   * @return the deadline of a call sent now; that of the previous lease if it is certainly later,
+   *     as a worker's lease never becomes shorter
    */
   long grantLease(long overAtMs, long nowMs) {
     runsOverAtMs = Math.max(runsOverAtMs, overAtMs);
-    return minClockMs(nowMs) + timing.workerLeaseEndingWithinMs(runsOverAtMs - nowMs);
+    runsOverAtEarliestMs = Math.max(runsOverAtEarliestMs, overAtMs);
+    return minClockMs(nowMs) + timing.workerLeaseEndingWithinMs(runsOverAtEarliestMs - nowMs);
+  }
+
+  /**
+   * Handles a possible sleep of this box. The clock of the recorded times did not count it, so the
+   * lease that was granted and the times by which runs must be over are nearer than recorded.
+   */
+  void onSuspectedSleep(long sleptMs) {
+    runsOverAtEarliestMs -= sleptMs;
+    runs.values().forEach(run -> run.onSuspectedSleep(sleptMs));
   }
 
   boolean areRunsOver(long nowMs) {
@@ -126,6 +140,11 @@
     return runsOverAtMs;
   }
 
+  /** Returns when all runs may be over at the earliest: no suspected sleep is left out. */
+  long runsOverAtEarliestMs() {
+    return runsOverAtEarliestMs;
+  }
+
   /** Returns the assumed state of this instance for the log. */
   String describeState(long nowMs) {
     long unanswered = runs.values().stream().filter(run -> run.unansweredStarts > 0).count();
--- a/core/src/main/java/io/hingehoist/run/host/WorkerPoller.java
+++ b/core/src/main/java/io/hingehoist/run/host/WorkerPoller.java
@@ -84,7 +84,7 @@
             && !instance.silent
             && !instance.hasUnknownRuns
             && instance.hasRuns()
-            && overAtMs > Math.max(nowMs, instance.runsOverAtMs());
+            && overAtMs > Math.max(nowMs, instance.runsOverAtEarliestMs());
     long deadlineMs = renewsLease ? instance.grantLease(overAtMs, nowMs) : 0;
     outbox.add(
         new HostEffect.PollCall(
--- a/core/src/test/java/io/hingehoist/run/host/HostSleepTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/HostSleepTest.java
@@ -134,4 +134,24 @@
     host.proofReceived(SESSION, probeNumber, 1_027, 1_027);
     assertTrue(renewedLeaseDeadlineMs(1_075, List.of(RUNNING)) > 0);
   }
+
+  @Test
+  public void aStoppedRunIsNotKeptAliveForLongerByASleep() {
+    long otherSession = SESSION + 1;
+    RunRef other = new RunRef("k.0.0", 1);
+    host.proofReceived(SESSION, probeNumber(), 1_024, 1_024);
+    host.sessionOpened(otherSession, "p", 1_025);
+    fixture.start(otherSession, "w", 1_026, other);
+    host.sessionEnded(SESSION, "closed", 1_030);
+    host.stopCallCompleted("w", RUNNING, false, 1_040);
+    host.mayHaveSlept(800, 1_050);
+    fixture.collectEffects(1_050);
+    long probeNumber = fixture.sent(otherSession, SessionProbe.class).getFirst().number();
+    host.proofReceived(otherSession, probeNumber, 1_052, 1_052);
+    long mustEndByMs = 1_030 + HostFixture.TIMING.workerRunsOverAfterMs() - 800;
+    long deadlineMs = renewedLeaseDeadlineMs(1_055, List.of(RUNNING, other));
+    assertTrue(deadlineMs <= PollResults.clockMs(mustEndByMs), "deadline " + deadlineMs);
+    fixture.order(otherSession, "w", 1_056, new RunRef("k.0.1", 1));
+    assertEquals(count(HostEffect.StartCall.class), 0);
+  }
 }
--- a/core/src/test/java/io/hingehoist/run/host/PollResults.java
+++ b/core/src/test/java/io/hingehoist/run/host/PollResults.java
@@ -13,6 +13,11 @@
   static PollResult.Listed listed(long nowMs, List<RunRef> running, PollResult.Ended... ended) {
     List<PollResult.Running> entries =
         running.stream().map(run -> new PollResult.Running(run, 0)).toList();
-    return new PollResult.Listed(CLOCK_AHEAD_MS + nowMs, entries, List.of(ended));
+    return new PollResult.Listed(clockMs(nowMs), entries, List.of(ended));
+  }
+
+  /** Returns the time of the worker's clock at a time of the host's clock. */
+  static long clockMs(long nowMs) {
+    return CLOCK_AHEAD_MS + nowMs;
   }
 }
