--- a/core/src/main/java/io/hingehoist/run/host/LeaseBounds.java
+++ b/core/src/main/java/io/hingehoist/run/host/LeaseBounds.java
@@ -42,7 +42,7 @@
    * then resubmit their jobs elsewhere.
    */
   long ownerRunsEndByMs(OwnerSession session) {
-    return session.lease.expiresAtMs() + timing.ownerLeaseMs() - MARGIN_MS;
+    return session.lease.earliestExpiryMs() + timing.ownerLeaseMs() - MARGIN_MS;
   }
 
   /** Returns when a run that is stopped now must be over. */
@@ -56,7 +56,7 @@
    * over.
    */
   boolean allowsStart(WorkerInstance instance, OwnerSession session, long nowMs) {
-    long endMs = Math.max(instance.runsOverAtMs(), latestEndMs(instance, nowMs));
+    long endMs = Math.max(instance.runsOverAtEarliestMs(), latestEndMs(instance, nowMs));
     return endMs - nowMs >= MIN_START_LEASE_MS
         && instance.runsOverAtMs() <= ownerRunsEndByMs(session);
   }
--- a/core/src/main/java/io/hingehoist/run/host/OwnerSession.java
+++ b/core/src/main/java/io/hingehoist/run/host/OwnerSession.java
@@ -66,8 +66,9 @@
   }
 
   /** Marks the lease as unverified until the owner answers a probe. */
-  void markUnverified(long nowMs) {
+  void markUnverified(long sleptMs, long nowMs) {
     unverified = true;
+    lease.onSuspectedSleep(sleptMs);
     unverifiedSinceMs = nowMs;
   }
 
@@ -93,8 +94,8 @@
     return matches;
   }
 
-  /** Returns whether runs of the owner may be started. */
-  boolean allowsStarts(long nowMs) {
+  /** Returns whether the lease is verified and has not expired, so that runs may be started. */
+  boolean isLeaseValid(long nowMs) {
     return !isUnverified() && !lease.isExpired(nowMs);
   }
 
--- a/core/src/main/java/io/hingehoist/run/host/OwnerSessionManager.java
+++ b/core/src/main/java/io/hingehoist/run/host/OwnerSessionManager.java
@@ -132,12 +132,16 @@
     }
   }
 
-  /** Prevents starts on every session until its owner has answered a probe. */
-  void markAllUnverified(long sleptMs, long nowMs) {
+  /**
+   * Handles a possible sleep of this box: prevents starts on every session until its owner has
+   * answered a probe, and brings forward the times by which runs must be over.
+   */
+  void mayHaveSlept(long sleptMs, long nowMs) {
     outbox.logDecision("mayHaveSlept", "", hostId, "ms=" + sleptMs);
+    instances.all().forEach(instance -> instance.onSuspectedSleep(sleptMs));
     for (OwnerSession session : sessions.all()) {
       probeNumber++;
-      session.markUnverified(nowMs);
+      session.markUnverified(sleptMs, nowMs);
       session.recordProbe(probeNumber, nowMs);
       outbox.send(session.id, new SessionProbe(probeNumber));
     }
@@ -151,9 +155,12 @@
     }
   }
 
-  /** Answers an owner's probe unless the session is unverified here too. */
+  /**
+   * Answers an owner's probe if the owner's lease is valid and verified. A session without runs
+   * outlasts its lease, so that it is open proves nothing.
+   */
   void probeReceived(OwnerSession session, long number, long nowMs) {
-    if (!session.isUnverified()) {
+    if (session.isLeaseValid(nowMs)) {
       outbox.send(session.id, new SessionProof(number, nowMs));
     }
   }
--- a/core/src/main/java/io/hingehoist/run/host/RunController.java
+++ b/core/src/main/java/io/hingehoist/run/host/RunController.java
@@ -70,7 +70,7 @@
   /** Starts the runs of an order that are allowed to start, and refuses the others. */
   void start(OwnerSession session, StartRuns order, long nowMs) {
     session.lastOrder = Math.max(session.lastOrder, order.order());
-    if (!session.allowsStarts(nowMs)) {
+    if (!session.isLeaseValid(nowMs)) {
       // A heartbeat in transit may still renew the lease, so each run has to be refused explicitly.
       order.runs().forEach(run -> refuse(session.id, run, order.workerId(), RunRefusal.NOT_READY));
       return;
@@ -251,7 +251,7 @@
         && startGuard.zoneAllowsStarts()
         && sessions
             .find(run.sessionId)
-            .filter(session -> session.allowsStarts(nowMs))
+            .filter(session -> session.isLeaseValid(nowMs))
             .filter(session -> bounds.allowsStart(instance, session, nowMs))
             .isPresent();
   }
--- a/core/src/test/java/io/hingehoist/run/RunSimulationTest.java
+++ b/core/src/test/java/io/hingehoist/run/RunSimulationTest.java
@@ -45,6 +45,11 @@
     runAll(EnumSet.of(Fault.WORKER_RESTARTS, Fault.SLOW_CALLS));
   }
 
+  @Test
+  public void noTaskRunsTwiceWhileBoxesAreSuspended() {
+    runAll(Set.of(Fault.SUSPENDED_BOXES));
+  }
+
   @Test
   public void noTaskRunsTwiceWithAllFaults() {
     runAll(EnumSet.allOf(Fault.class));
--- a/core/src/test/java/io/hingehoist/run/host/HostSleepTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/HostSleepTest.java
@@ -1,6 +1,7 @@
 package io.hingehoist.run.host;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import io.hingehoist.message.Message;
 import io.hingehoist.message.Room;
@@ -108,4 +109,49 @@
     fixture.collectEffects(1_021);
     assertEquals(sent(SessionProof.class), List.of());
   }
+
+  @Test
+  public void aHeartbeatDelayedAfterTheProofDoesNotExtendTheLease() {
+    host.proofReceived(SESSION, probeNumber(), 5_024, 1_024);
+    host.mayHaveSlept(2_000, 1_030);
+    fixture.collectEffects(1_030);
+    host.proofReceived(SESSION, probeNumber(), 7_034, 1_034);
+    // Sent 50 ms after the proof, 2,000 ms in transit.
+    host.ownerHeartbeat(SESSION, 7_084, true, 3_084);
+    start(3_084, ORDERED);
+    assertEquals(count(HostEffect.StartCall.class), 0);
+  }
+
+  private long renewedLeaseDeadlineMs(long nowMs, List<RunRef> running) {
+    fixture.answerPoll("w", nowMs, running);
+    return fixture.all(HostEffect.PollCall.class).getFirst().deadlineMs();
+  }
+
+  @Test
+  public void theLeaseOfAWorkerIsNotRenewedForAnOwnerThatIsUnverified() {
+    long probeNumber = probeNumber();
+    assertEquals(renewedLeaseDeadlineMs(1_025, List.of(RUNNING)), 0);
+    host.proofReceived(SESSION, probeNumber, 1_027, 1_027);
+    assertTrue(renewedLeaseDeadlineMs(1_075, List.of(RUNNING)) > 0);
+  }
+
+  @Test
+  public void aStoppedRunIsNotKeptAliveForLongerByASleep() {
+    long otherSession = SESSION + 1;
+    RunRef other = new RunRef("k.0.0", 1);
+    host.proofReceived(SESSION, probeNumber(), 1_024, 1_024);
+    host.sessionOpened(otherSession, "p", 1_025);
+    fixture.start(otherSession, "w", 1_026, other);
+    host.sessionEnded(SESSION, "closed", 1_030);
+    host.stopCallCompleted("w", RUNNING, false, 1_040);
+    host.mayHaveSlept(800, 1_050);
+    fixture.collectEffects(1_050);
+    long probeNumber = fixture.sent(otherSession, SessionProbe.class).getFirst().number();
+    host.proofReceived(otherSession, probeNumber, 1_052, 1_052);
+    long mustEndByMs = 1_030 + HostFixture.TIMING.workerRunsOverAfterMs() - 800;
+    long deadlineMs = renewedLeaseDeadlineMs(1_055, List.of(RUNNING, other));
+    assertTrue(deadlineMs <= PollResults.clockMs(mustEndByMs), "deadline " + deadlineMs);
+    fixture.order(otherSession, "w", 1_056, new RunRef("k.0.1", 1));
+    assertEquals(count(HostEffect.StartCall.class), 0);
+  }
 }
