HostSessionsTest: a test no longer sees the sessions of the one before it

The listener added to the fields of the test class, which @BeforeMethod replaces: a connection of the former test that closed late reported its suspension to the queue of the next test, which then announced before its own session was suspended.

The listener now holds the queues that it was created with, as the handlers of PeerLinkTest do. No assertion changes.

--- a/daemon/src/test/java/io/hingehoist/owner/HostSessionsTest.java
+++ b/daemon/src/test/java/io/hingehoist/owner/HostSessionsTest.java
@@ -33,10 +33,14 @@
 
   private record Lost(String hostId, boolean mayHoldLease, long leaseRenewedAtMs) {}
 
-  private final class RecordingListener implements HostSessions.Listener {
+  private record RecordingListener(
+      BlockingQueue<SessionOpened> openings,
+      BlockingQueue<Long> suspensionsAtMs,
+      BlockingQueue<Lost> losses)
+      implements HostSessions.Listener {
     @Override
     public void onOpened(String hostId, SessionOpened message) {
-      opened.add(message);
+      openings.add(message);
     }
 
     @Override
@@ -44,7 +48,7 @@
 
     @Override
     public void onSuspended(String hostId, long heardAgoMs) {
-      suspendedAtMs.add(EventLoop.nowMs());
+      suspensionsAtMs.add(EventLoop.nowMs());
     }
 
     @Override
@@ -52,7 +56,7 @@
 
     @Override
     public void onLost(String hostId, boolean mayHoldLease, long leaseRenewedAtMs) {
-      lost.add(new Lost(hostId, mayHoldLease, leaseRenewedAtMs));
+      losses.add(new Lost(hostId, mayHoldLease, leaseRenewedAtMs));
     }
 
     @Override
@@ -100,9 +104,9 @@
     loop = EventLoop.start(Throwable::printStackTrace);
     ownerAddress = freeAddress();
     Peer self = new Peer("o", Role.ENTRY, ownerAddress, 1, "z");
-    sessions =
-        new HostSessions(
-            loop, self, ownerAddress, LEASE_MS, Metrics.create(), new RecordingListener());
+    // Late events on connections of an earlier test go to the queues of that test.
+    RecordingListener listener = new RecordingListener(opened, suspendedAtMs, lost);
+    sessions = new HostSessions(loop, self, ownerAddress, LEASE_MS, Metrics.create(), listener);
   }
 
   @AfterMethod
