A delayed opening of a former process no longer replaces the session of the present one

Callers would see a task run twice: when the opening message of a former process of a host arrived after the session of the present process was open (both may lie in the socket of an owner that was paused, and a cut delays the retransmission of the older connection), it replaced that session. The owner counted the runs there as over 650 ms too early, as it took the replaced session for one that its host had ended, and the present process still held the lease; and it gave up a host that answered.

Cause: session ids are compared within one process of a host only. The incarnations of two processes can't be compared, as the time of day may have been set back between them.

A host has one process at a time. While messages arrive on a session, a connection of another process is closed. A former process doesn't connect again; a new one, whose predecessor ended without notice, does so until that session is silent. Where a session without a connection is replaced by another process, its host may still hold the lease, so the lease is counted from when the connection ended.

Before, of HostSessionsTest: aFormerProcessDoesNotReplaceTheSessionOfThePresentOne failed with lower and higher incarnation (expected [2] but found [1]: the present connection was closed), aHostMayHoldALeaseAfterAnotherProcessHasOpenedASession with both (expected [true] but found [false]).

--- a/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
+++ b/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
@@ -117,6 +117,10 @@
       return channel.filter(other::equals).isPresent();
     }
 
+    private boolean isReceiving() {
+      return channel.isPresent() && !silent;
+    }
+
     private boolean isIdle() {
       return openRuns.isEmpty();
     }
@@ -263,7 +267,7 @@
 
   private boolean isReceiving(String hostId) {
     Session session = sessions.get(hostId);
-    return session != null && session.channel.isPresent() && !session.silent;
+    return session != null && session.isReceiving();
   }
 
   private void announceTo(Peer host) {
@@ -338,6 +342,10 @@
         handleMessage(host.nodeId(), session, message);
         return;
       }
+      if (session != null && mayBeDelayed(host, session)) {
+        channel.close();
+        return;
+      }
       switch (message) {
         case SessionOpened opened -> openSession(host, channel, opened);
         case SessionResumed resumed -> resumeSession(host, channel, resumed);
@@ -355,7 +363,16 @@
     }
 
     /**
-     * Returns whether a newer session of the same host is known. Session ids increase within an
+     * Returns whether a message comes from another process of the host while a session is receiving
+     * messages. A host has one process at a time, so the message was probably delayed. A process
+     * whose predecessor ended without notice connects again until that session is silent.
+     */
+    private boolean mayBeDelayed(Hello host, Session session) {
+      return session.hostIncarnation != host.incarnation() && session.isReceiving();
+    }
+
+    /**
+     * Returns whether a newer session of the same process is known. Session ids increase within an
      * incarnation, so a message with a lower id was delayed.
      */
     private boolean isOutdated(Hello host, SessionOpened opened) {
@@ -371,7 +388,7 @@
         return;
       }
       long nowMs = EventLoop.nowMs();
-      endSession(host.nodeId(), false, nowMs);
+      endReplaced(host, nowMs);
       Session session = new Session(opened.sessionId(), host.incarnation(), channel);
       sessions.put(host.nodeId(), session);
       session.stream.recordReceived(opened);
@@ -381,6 +398,19 @@
       listener.onOpened(host.nodeId(), opened);
     }
 
+    /**
+     * Ends the session that a new one replaces. Its own process has ended it before it opened the
+     * new one; another process may have sent the opening before that session.
+     */
+    private void endReplaced(Hello host, long nowMs) {
+      Session replaced = sessions.get(host.nodeId());
+      if (replaced != null) {
+        boolean mayHoldLease = replaced.hostIncarnation != host.incarnation();
+        long renewedAtMs = replaced.channel.isPresent() ? nowMs : replaced.suspendedAtMs;
+        endSession(host.nodeId(), mayHoldLease, mayHoldLease ? renewedAtMs : nowMs);
+      }
+    }
+
     private void resumeSession(Hello host, PeerChannel channel, SessionResumed resumed) {
       Session session = sessions.get(host.nodeId());
       boolean known =
--- a/daemon/src/test/java/io/hingehoist/owner/HostSessionsTest.java
+++ b/daemon/src/test/java/io/hingehoist/owner/HostSessionsTest.java
@@ -24,10 +24,12 @@
 import java.util.function.Consumer;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public final class HostSessionsTest {
   private static final String HOST = "h";
+  private static final long INCARNATION = 2;
   private static final long LEASE_MS = 650;
   private static final long TIMEOUT_S = 10;
 
@@ -72,10 +74,11 @@
   }
 
   /** A host that opens a session and then sends nothing. */
-  private record Host(long sessionId, BlockingQueue<Long> closed) implements PeerHandler {
+  private record Host(long incarnation, long sessionId, BlockingQueue<Long> closed)
+      implements PeerHandler {
     @Override
     public void onOpen(PeerChannel channel) {
-      channel.send(new SessionOpened(sessionId, HOST, 1, "z", true));
+      channel.send(new SessionOpened(sessionId, HOST, incarnation, "z", true));
     }
 
     @Override
@@ -122,12 +125,23 @@
   }
 
   private PeerLink openSession(long sessionId) {
-    Hello hello = new Hello(Role.AGENT, HOST, 1, "", 1);
-    Host host = new Host(sessionId, closed);
+    return openSession(INCARNATION, sessionId);
+  }
+
+  private PeerLink openSession(long incarnation, long sessionId) {
+    return connect(incarnation, new Host(incarnation, sessionId, closed));
+  }
+
+  private PeerLink connect(long incarnation, PeerHandler host) {
+    Hello hello = hello(incarnation);
     return PeerLink.open(
         loop, ownerAddress, "127.0.0.1:1", LEASE_MS, () -> hello, host, Metrics.create());
   }
 
+  private static Hello hello(long incarnation) {
+    return new Hello(Role.AGENT, HOST, incarnation, "", 1);
+  }
+
   /**
    * Guards against a delayed message that replaces a newer session: the owner would order the runs
    * of the newer session again elsewhere while they are in progress.
@@ -166,4 +180,34 @@
     assertTrue(session.mayHoldLease());
     assertTrue(session.leaseRenewedAtMs() <= suspended, session + " suspended at " + suspended);
   }
+
+  @DataProvider
+  public static Object[][] otherIncarnations() {
+    return new Object[][] {{INCARNATION - 1}, {INCARNATION + 1}};
+  }
+
+  /** A host's clock may be set back between two of its processes, so either may be the former. */
+  @Test(dataProvider = "otherIncarnations")
+  public void aFormerProcessDoesNotReplaceTheSessionOfThePresentOne(long former) throws Exception {
+    PeerLink present = openSession(INCARNATION, 1);
+    assertNotNull(opened.poll(TIMEOUT_S, TimeUnit.SECONDS));
+    PeerLink late = openSession(former, 2);
+    assertEquals(closed.poll(TIMEOUT_S, TimeUnit.SECONDS), Long.valueOf(2));
+    assertTrue(lost.isEmpty());
+    loop.execute(present::close);
+    loop.execute(late::close);
+  }
+
+  @Test(dataProvider = "otherIncarnations")
+  public void aHostMayHoldALeaseAfterAnotherProcessHasOpenedASession(long other) throws Exception {
+    openSessionAndDisconnect();
+    Long suspended = suspendedAtMs.poll(TIMEOUT_S, TimeUnit.SECONDS);
+    assertNotNull(suspended);
+    PeerLink link = openSession(other, 2);
+    Lost session = lost.poll(TIMEOUT_S, TimeUnit.SECONDS);
+    assertNotNull(session);
+    assertTrue(session.mayHoldLease());
+    assertTrue(session.leaseRenewedAtMs() <= suspended, session + " suspended at " + suspended);
+    loop.execute(link::close);
+  }
 }
