An owner believes that former runs are over once their host has answered on that connection

Callers would see a task run twice: an owner ordered the uncertain runs at a host again as soon as any opening of a session said that former runs were over. The statement covers the runs that were ordered before the host made it. It may arrive much later, from a process that has ended since or on a connection that was replaced, when the owner has lost a newer session of that host and its runs there still go on.

Cause: isOutdated compares with the session that is open, and nothing is kept of sessions that have ended. Which runs a statement covers can't be told by session and incarnation either, as the time of day may have been set back between two processes.

The owner now sends a KeepAlive request on the session's connection and takes the statement into account when the answer arrives. A process that has ended never answers, nor does a connection that its host has replaced, and a host that answers has no newer session than this one. The session itself opens at once, so nothing waits for that round trip but tasks with uncertain runs. If the connection is replaced meanwhile, the question is asked again on the next one.

Before, of HostSessionsTest: aDelayedStatementOfAnEndedProcessDoesNotEndTheRunsOfALaterSession failed (expected [false] but found [true]). theStatementOfALiveHostIsReported and aStatementIsReportedAfterItsConnectionWasReplaced hold that the statement isn't lost.

--- a/daemon/src/main/java/io/hingehoist/net/PeerChannel.java
+++ b/daemon/src/main/java/io/hingehoist/net/PeerChannel.java
@@ -15,6 +15,8 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Queue;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -34,6 +36,7 @@
   private final long id = NEXT_ID.incrementAndGet();
   private final Channel channel;
   private final Metrics metrics;
+  private final Queue<Runnable> pendingConfirmations = new ArrayDeque<>();
   private final long openedAtMs = EventLoop.nowMs();
   private long lastReceivedAtMs = openedAtMs;
   private boolean received;
@@ -104,6 +107,23 @@
     return true;
   }
 
+  /**
+   * Sends a request that the peer answers at once, and runs an action when the answer arrives. The
+   * answer proves that the peer has read from this connection after this call.
+   */
+  public void confirmOpen(Runnable onConfirmed) {
+    if (send(new KeepAlive(true))) {
+      pendingConfirmations.add(onConfirmed);
+    }
+  }
+
+  private void handleConfirmation() {
+    Runnable action = pendingConfirmations.poll();
+    if (action != null) {
+      action.run();
+    }
+  }
+
   /** Resets the connection; unsent messages are dropped, and late ones are not read. */
   public void close() {
     Resets.reset(channel);
@@ -149,7 +169,7 @@
     private void handleMessage(Message message) {
       switch (message) {
         case KeepAlive keepAlive when keepAlive.asks() -> send(new KeepAlive(false));
-        case KeepAlive answer -> {}
+        case KeepAlive answer -> handleConfirmation();
         default -> handler.onMessage(PeerChannel.this, message);
       }
     }
--- a/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
+++ b/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
@@ -50,8 +50,8 @@
   /** Handles the events of sessions. Called on the event loop. */
   interface Listener {
     /**
-     * Called when a host opens a session, and when it repeats that message because all runs of
-     * former sessions are over.
+     * Called when a host opens a session, and again once it has confirmed that all runs of former
+     * sessions are over.
      */
     void onOpened(String hostId, SessionOpened opened);
 
@@ -101,6 +101,9 @@
     private long suspendedAtMs;
     private long heartbeatSentAtMs;
 
+    /** The host's statement that all runs of former sessions are over, until it is confirmed. */
+    private Optional<SessionOpened> unconfirmedStatement = Optional.empty();
+
     /** The time at which the oldest run that may still be in progress was ordered. */
     private long oldestRunOrderedAtMs;
 
@@ -395,7 +398,8 @@
       // Whether to follow this host is known only after it has sent more about itself.
       session.heartbeatSentAtMs = nowMs;
       channel.send(new OwnerBeat(nowMs, true));
-      listener.onOpened(host.nodeId(), opened);
+      listener.onOpened(host.nodeId(), withoutStatement(opened));
+      recordStatement(host.nodeId(), session, opened);
     }
 
     /**
@@ -411,6 +415,39 @@
       }
     }
 
+    private SessionOpened withoutStatement(SessionOpened opened) {
+      return new SessionOpened(
+          opened.sessionId(), opened.hostId(), opened.hostIncarnation(), opened.zone(), false);
+    }
+
+    private void recordStatement(String hostId, Session session, SessionOpened opened) {
+      if (opened.formerRunsOver()) {
+        session.unconfirmedStatement = Optional.of(opened);
+        confirmStatement(hostId, session);
+      }
+    }
+
+    /**
+     * Reports the host's statement on runs of former sessions once it has answered on the session's
+     * connection. Without an answer, the statement may have been delayed, and the host may have
+     * accepted runs on a later session, which has ended here since.
+     */
+    private void confirmStatement(String hostId, Session session) {
+      if (session.unconfirmedStatement.isPresent()) {
+        PeerChannel channel = session.channel.orElseThrow();
+        channel.confirmOpen(() -> onConfirmed(hostId, session, channel));
+      }
+    }
+
+    private void onConfirmed(String hostId, Session session, PeerChannel channel) {
+      boolean current = sessions.get(hostId) == session && session.usesChannel(channel);
+      if (current && session.unconfirmedStatement.isPresent()) {
+        SessionOpened statement = session.unconfirmedStatement.get();
+        session.unconfirmedStatement = Optional.empty();
+        listener.onOpened(hostId, statement);
+      }
+    }
+
     private void resumeSession(Hello host, PeerChannel channel, SessionResumed resumed) {
       Session session = sessions.get(host.nodeId());
       boolean known =
@@ -430,13 +467,14 @@
       channel.send(new SessionResumed(session.id, session.stream.receivedCount()));
       sendHeartbeat(host.nodeId(), session, channel);
       session.stream.unacknowledged().forEach(channel::send);
+      confirmStatement(host.nodeId(), session);
       long suspendedForMs = EventLoop.nowMs() - session.suspendedAtMs;
       listener.onResumed(host.nodeId(), suspendedForMs, session.stream.unacknowledgedCount());
     }
 
     private void handleMessage(String hostId, Session session, Message message) {
       switch (message) {
-        case SessionOpened opened -> listener.onOpened(hostId, opened);
+        case SessionOpened opened -> recordStatement(hostId, session, opened);
         case SessionAck ack -> handleAck(session, ack);
         case Announce announce -> listener.onAnnounce(announce.self());
         case SessionProbe probe ->
--- a/daemon/src/test/java/io/hingehoist/owner/HostSessionsTest.java
+++ b/daemon/src/test/java/io/hingehoist/owner/HostSessionsTest.java
@@ -1,6 +1,7 @@
 package io.hingehoist.owner;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertTrue;
 
@@ -9,14 +10,18 @@
 import io.hingehoist.message.Peer;
 import io.hingehoist.message.Role;
 import io.hingehoist.message.SessionOpened;
+import io.hingehoist.message.SessionResumed;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.net.EventLoop;
 import io.hingehoist.net.PeerChannel;
 import io.hingehoist.net.PeerHandler;
 import io.hingehoist.net.PeerLink;
+import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -90,6 +95,20 @@
     }
   }
 
+  /** A host that resumes a session. */
+  private record ResumingHost(long sessionId) implements PeerHandler {
+    @Override
+    public void onOpen(PeerChannel channel) {
+      channel.send(new SessionResumed(sessionId, 0));
+    }
+
+    @Override
+    public void onMessage(PeerChannel channel, Message message) {}
+
+    @Override
+    public void onClosed(PeerChannel channel) {}
+  }
+
   private BlockingQueue<Long> closed;
   private BlockingQueue<SessionOpened> opened;
   private BlockingQueue<Long> suspendedAtMs;
@@ -142,6 +161,24 @@
     return new Hello(Role.AGENT, HOST, incarnation, "", 1);
   }
 
+  /** Delivers what a host sent to open a session before its process ended. */
+  private void openSessionOfEndedProcess(long incarnation, long sessionId) throws IOException {
+    int port = Integer.parseInt(ownerAddress.substring(ownerAddress.indexOf(':') + 1));
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      DataOutputStream frames = new DataOutputStream(socket.getOutputStream());
+      writeFrame(frames, hello(incarnation));
+      writeFrame(frames, new SessionOpened(sessionId, HOST, incarnation, "z", true));
+    }
+  }
+
+  private static void writeFrame(DataOutputStream frames, Message message) throws IOException {
+    ByteBuffer body = message.toBytes().asByteBuffer();
+    byte[] content = new byte[body.remaining()];
+    body.get(content);
+    frames.writeInt(content.length);
+    frames.write(content);
+  }
+
   /**
    * Guards against a delayed message that replaces a newer session: the owner would order the runs
    * of the newer session again elsewhere while they are in progress.
@@ -210,4 +247,38 @@
     assertTrue(session.leaseRenewedAtMs() <= suspended, session + " suspended at " + suspended);
     loop.execute(link::close);
   }
+
+  @Test
+  public void aDelayedStatementOfAnEndedProcessDoesNotEndTheRunsOfALaterSession() throws Exception {
+    openSessionOfEndedProcess(INCARNATION, 1);
+    assertNotNull(suspendedAtMs.poll(TIMEOUT_S, TimeUnit.SECONDS));
+    SessionOpened opening = opened.poll();
+    assertNotNull(opening);
+    assertFalse(opening.formerRunsOver());
+    assertTrue(opened.isEmpty(), "reported again: " + opened);
+  }
+
+  @Test
+  public void theStatementOfALiveHostIsReported() throws Exception {
+    PeerLink link = openSession(1);
+    assertFormerRunsOver(false);
+    assertFormerRunsOver(true);
+    loop.execute(link::close);
+  }
+
+  @Test
+  public void aStatementIsReportedAfterItsConnectionWasReplaced() throws Exception {
+    openSessionOfEndedProcess(INCARNATION, 1);
+    assertFormerRunsOver(false);
+    assertNotNull(suspendedAtMs.poll(TIMEOUT_S, TimeUnit.SECONDS));
+    PeerLink link = connect(INCARNATION, new ResumingHost(1));
+    assertFormerRunsOver(true);
+    loop.execute(link::close);
+  }
+
+  private void assertFormerRunsOver(boolean expected) throws InterruptedException {
+    SessionOpened opening = opened.poll(TIMEOUT_S, TimeUnit.SECONDS);
+    assertNotNull(opening);
+    assertEquals(opening.formerRunsOver(), expected);
+  }
 }
