An owner that was paused checks for the pause before it sends anything

Callers would see a task run twice: a caller that had no answer brings its job to another owner, and the paused owner ordered runs of the same job before it dropped it. A host without runs of that owner keeps its session for 2.5 s, and the heartbeat that precedes an order renewed the lease there.

Cause: the pause was noticed at the next tick only. What I/O handlers schedule after a pause, and what was scheduled before it, runs before the tick that is due, so waiting tasks were placed and sent; closing the sessions then flushed what was written. A host that resumed its session was sent its unacknowledged orders by the I/O handler itself, behind a new heartbeat.

The time since the last tick is now compared with the lease at each flush and before each message of a host, as well as at the tick. Messages of a connection that this closes are ignored.

Before, of PausedOwnerTest: aPausedOwnerOrdersNoRunsBeforeItHasDroppedItsJobs failed for jobs submitted before and during the pause (expected [closed] but found [ordered second]), aPausedOwnerRepeatsNoOrdersBeforeItHasDroppedItsJobs too (expected [SessionUnknown[sessionId=1]] but found [SessionResumed[sessionId=1, receivedCount=1]]).

--- a/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
+++ b/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
@@ -49,6 +49,12 @@
 
   /** Handles the events of sessions. Called on the event loop. */
   interface Listener {
+    /**
+     * Called before a message of a host is handled, which may send messages at once. May end all
+     * sessions.
+     */
+    void beforeMessage();
+
     /**
      * Called when a host opens a session, and again once it has confirmed that all runs of former
      * sessions are over.
@@ -326,6 +332,10 @@
 
     @Override
     public void onMessage(PeerChannel channel, Message message) {
+      listener.beforeMessage();
+      if (!channel.isOpen()) {
+        return;
+      }
       if (host.isPresent()) {
         handleMessage(host.get(), channel, message);
       } else if (message instanceof Hello hello && hello.role() == Role.AGENT) {
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -179,10 +179,8 @@
 
   @Override
   public void onTick(long nowMs) {
+    checkPause(nowMs);
     checkSleep();
-    if (nowMs - tickedAtMs >= timing.ownerLeaseMs()) {
-      handlePause(nowMs - tickedAtMs);
-    }
     if (sleepCheck.hasSlept(nowMs)) {
       handlePause(suspectedSleepMs);
     }
@@ -197,6 +195,18 @@
     }
   }
 
+  /**
+   * Checks for a pause of this process, before anything is sent: events that occurred during a
+   * pause are handled before the next tick.
+   */
+  private void checkPause(long nowMs) {
+    long pausedMs = nowMs - tickedAtMs;
+    if (pausedMs >= timing.ownerLeaseMs()) {
+      tickedAtMs = nowMs;
+      handlePause(pausedMs);
+    }
+  }
+
   /**
    * Drops all jobs and sessions after a pause of this process. By now the hosts have stopped this
    * owner's runs, and its callers may have submitted their jobs to other owners.
@@ -249,6 +259,7 @@
 
   @Override
   public void flush(long nowMs) {
+    checkPause(nowMs);
     checkSleep();
     if (sleepCheck.isPending()) {
       return;
@@ -376,6 +387,11 @@
   }
 
   private final class HostListener implements HostSessions.Listener {
+    @Override
+    public void beforeMessage() {
+      checkPause(EventLoop.nowMs());
+    }
+
     @Override
     public void onOpened(String hostId, SessionOpened opened) {
       String outcome =
--- a/daemon/src/test/java/io/hingehoist/owner/HostSessionsTest.java
+++ b/daemon/src/test/java/io/hingehoist/owner/HostSessionsTest.java
@@ -45,6 +45,9 @@
       BlockingQueue<Long> suspensionsAtMs,
       BlockingQueue<Lost> losses)
       implements HostSessions.Listener {
+    @Override
+    public void beforeMessage() {}
+
     @Override
     public void onOpened(String hostId, SessionOpened message) {
       openings.add(message);
--- /dev/null
+++ b/daemon/src/test/java/io/hingehoist/owner/PausedOwnerTest.java
@@ -0,0 +1,273 @@
+package io.hingehoist.owner;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import io.hingehoist.adapter.Adapter;
+import io.hingehoist.adapter.JobIntake;
+import io.hingehoist.adapter.OperatorCommands;
+import io.hingehoist.adapter.WorkerCalls;
+import io.hingehoist.adapter.WorkerRegistry;
+import io.hingehoist.log.DecisionLog;
+import io.hingehoist.message.Bytes;
+import io.hingehoist.message.Hello;
+import io.hingehoist.message.HostRows;
+import io.hingehoist.message.KeepAlive;
+import io.hingehoist.message.Message;
+import io.hingehoist.message.Role;
+import io.hingehoist.message.Room;
+import io.hingehoist.message.SessionOpened;
+import io.hingehoist.message.SessionResumed;
+import io.hingehoist.message.SessionUnknown;
+import io.hingehoist.message.StartRuns;
+import io.hingehoist.message.WorkerRow;
+import io.hingehoist.message.WorkerState;
+import io.hingehoist.metrics.Metrics;
+import io.hingehoist.net.EventLoop;
+import io.hingehoist.net.HttpHandler;
+import io.hingehoist.net.PeerChannel;
+import io.hingehoist.net.PeerHandler;
+import io.hingehoist.net.PeerLink;
+import io.hingehoist.route.RouteTable;
+import io.hingehoist.run.JobEnd;
+import io.hingehoist.run.JobPlan;
+import io.hingehoist.run.StepPlan;
+import io.hingehoist.settings.NodeSection;
+import io.hingehoist.settings.OwnerSection;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class PausedOwnerTest {
+  private static final long RESUBMIT_AFTER_MS = 1_300;
+  private static final long SESSION = 1;
+  private static final long TIMEOUT_S = 10;
+  private static final Hello HELLO = new Hello(Role.AGENT, "h", 1, "", 1);
+  private static final Room NEED = new Room(100, 10, 0);
+  private static final Room CAPACITY = new Room(8_000, 8_000, 0);
+
+  /** An adapter that only passes on the intake of jobs. */
+  private record IntakeAdapter(CompletableFuture<JobIntake> intake) implements Adapter {
+    @Override
+    public String name() {
+      return "intake";
+    }
+
+    @Override
+    public HttpHandler callerHandler(JobIntake jobIntake) {
+      intake.complete(jobIntake);
+      return exchange -> exchange.abort();
+    }
+
+    @Override
+    public RouteTable toRoutes(long version, Bytes configuration) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public HttpHandler operatorHandler(OperatorCommands commands) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public HttpHandler workerHandler(WorkerRegistry registry) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public WorkerCalls workerCalls(EventLoop loop, String ownAddress) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
+  /** A host with one empty worker. */
+  private record Host(BlockingQueue<String> events) implements PeerHandler {
+    @Override
+    public void onOpen(PeerChannel channel) {
+      WorkerRow row =
+          new WorkerRow("w", "s", "z", List.of(), CAPACITY, CAPACITY, WorkerState.READY, 100);
+      channel.send(new SessionOpened(SESSION, "h", 1, "z", true));
+      channel.send(new HostRows(0, List.of(row)));
+    }
+
+    @Override
+    public void onMessage(PeerChannel channel, Message message) {
+      if (message instanceof StartRuns order) {
+        events.add("ordered " + order.jobId());
+      }
+    }
+
+    @Override
+    public void onClosed(PeerChannel channel) {
+      events.add("closed");
+    }
+  }
+
+  private EventLoop ownerLoop;
+  private EventLoop hostLoop;
+  private DecisionLog log;
+  private String address;
+  private OwnerNode owner;
+  private JobIntake intake;
+  private BlockingQueue<String> hostEvents;
+  private PeerLink hostLink;
+
+  @BeforeMethod
+  public void open() throws Exception {
+    ownerLoop = EventLoop.start(Throwable::printStackTrace);
+    hostLoop = EventLoop.start(Throwable::printStackTrace);
+    log =
+        DecisionLog.start(
+            "o", new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8));
+    hostEvents = new LinkedBlockingQueue<>();
+    address = freeAddress();
+    startOwner();
+    hostLink =
+        PeerLink.open(
+            hostLoop,
+            address,
+            "127.0.0.1:1",
+            TimeUnit.SECONDS.toMillis(TIMEOUT_S),
+            () -> HELLO,
+            new Host(hostEvents),
+            Metrics.create());
+  }
+
+  private void startOwner() throws Exception {
+    NodeSection node =
+        new NodeSection("o", List.of("owner"), "z", List.of(), 0, "", "", "text", "INFO");
+    OwnerSection settings =
+        new OwnerSection(
+            freeAddress(), "", address, "", RESUBMIT_AFTER_MS, 1_000, 50, 1, 14, 0, "");
+    CompletableFuture<JobIntake> created = new CompletableFuture<>();
+    owner =
+        OwnerNode.start(
+            node, settings, new IntakeAdapter(created), Metrics.create(), log, ownerLoop);
+    intake = created.get(TIMEOUT_S, TimeUnit.SECONDS);
+  }
+
+  private static String freeAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return "127.0.0.1:" + socket.getLocalPort();
+    }
+  }
+
+  @AfterMethod
+  public void close() {
+    hostLoop.execute(hostLink::close);
+    ownerLoop.execute(owner::close);
+    hostLoop.close();
+    ownerLoop.close();
+    log.close();
+  }
+
+  private CompletableFuture<JobEnd> submit(String jobId) {
+    CompletableFuture<JobEnd> end = new CompletableFuture<>();
+    JobPlan plan =
+        new JobPlan(jobId, "q", "s", "", 0, 3, 10_000, 10_000, List.of(StepPlan.of(1, NEED, 100)));
+    intake.submit(plan, end::complete);
+    return end;
+  }
+
+  private static void pauseUntilLeaseIsOver() {
+    long endMs = EventLoop.nowMs() + RESUBMIT_AFTER_MS;
+    while (EventLoop.nowMs() < endMs) {
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(endMs - EventLoop.nowMs()));
+    }
+  }
+
+  @DataProvider
+  public static Object[][] submittedBeforePause() {
+    return new Object[][] {{true}, {false}};
+  }
+
+  /** Callers have submitted their jobs to another owner by the end of the pause. */
+  @Test(dataProvider = "submittedBeforePause")
+  public void aPausedOwnerOrdersNoRunsBeforeItHasDroppedItsJobs(boolean submittedBefore)
+      throws Exception {
+    ownerLoop.execute(() -> submit("first"));
+    assertEquals(hostEvents.poll(TIMEOUT_S, TimeUnit.SECONDS), "ordered first");
+    CompletableFuture<JobEnd> end = new CompletableFuture<>();
+    ownerLoop.execute(
+        () -> {
+          if (!submittedBefore) {
+            pauseUntilLeaseIsOver();
+          }
+          submit("second").thenAccept(end::complete);
+          if (submittedBefore) {
+            pauseUntilLeaseIsOver();
+          }
+        });
+    JobEnd dropped = end.get(TIMEOUT_S, TimeUnit.SECONDS);
+    assertTrue(dropped instanceof JobEnd.Dropped, "" + dropped);
+    String event = hostEvents.poll(TIMEOUT_S, TimeUnit.SECONDS);
+    assertNotNull(event);
+    assertEquals(event, "closed");
+  }
+
+  @Test
+  public void aPausedOwnerRepeatsNoOrdersBeforeItHasDroppedItsJobs() throws Exception {
+    ownerLoop.execute(() -> submit("first"));
+    assertEquals(hostEvents.poll(TIMEOUT_S, TimeUnit.SECONDS), "ordered first");
+    int port = Integer.parseInt(address.substring(address.indexOf(':') + 1));
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_S));
+      DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+      DataInputStream in = new DataInputStream(socket.getInputStream());
+      writeFrame(out, HELLO);
+      writeFrame(out, new KeepAlive(true));
+      assertEquals(readFrame(in), new KeepAlive(false));
+      CountDownLatch paused = new CountDownLatch(1);
+      CountDownLatch sent = new CountDownLatch(1);
+      ownerLoop.execute(
+          () -> {
+            paused.countDown();
+            awaitUninterruptibly(sent);
+            pauseUntilLeaseIsOver();
+          });
+      assertTrue(paused.await(TIMEOUT_S, TimeUnit.SECONDS));
+      writeFrame(out, new SessionResumed(SESSION, 0));
+      sent.countDown();
+      assertEquals(readFrame(in), new SessionUnknown(SESSION));
+    }
+  }
+
+  private static void awaitUninterruptibly(CountDownLatch latch) {
+    try {
+      assertTrue(latch.await(TIMEOUT_S, TimeUnit.SECONDS));
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static void writeFrame(DataOutputStream out, Message message) throws IOException {
+    ByteBuffer body = message.toBytes().asByteBuffer();
+    byte[] content = new byte[body.remaining()];
+    body.get(content);
+    out.writeInt(content.length);
+    out.write(content);
+  }
+
+  private static Message readFrame(DataInputStream in) throws IOException {
+    return Message.fromBytes(Bytes.copyOf(in.readNBytes(in.readInt())));
+  }
+}
