The lease for an order counts from the decision, so a pause before it is sent leaves none

Callers would see a task run twice: an owner that was paused after it had placed a task, but before it sent the order, renewed the lease of an idle host with a heartbeat of the time after the pause. The host accepted the order, though the caller had brought its job to another owner by then.

Cause: the heartbeat that precedes the first order to an idle host was stamped when it was sent. The check for a pause came before the tasks were placed, so it couldn't notice this one.

That heartbeat now carries the time of the flush in which the order was decided, and the periodic ones that of their tick. After a pause of the owner's lease the host finds its lease over and refuses the order. An older stamp never lengthens a lease: the first heartbeat of a session, which gives the offset between the clocks, is still stamped when it is sent, and later ones can only lower that offset.

Before, of PausedOwnerTest: anOwnerThatIsPausedBetweenDecisionAndOrderRenewsNoLease failed (1611565 is after 1610265).

--- a/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
+++ b/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
@@ -178,14 +178,17 @@
   /**
    * Sends a message on a session's connection. A message with guaranteed delivery is kept, and sent
    * again on the session's next connection until it is acknowledged.
+   *
+   * @param decidedAtMs the time of the decision to send it. A lease that is renewed for an order
+   *     counts from then, so that it has expired if this process was paused in between
    */
-  void send(String hostId, Message message) {
+  void send(String hostId, Message message, long decidedAtMs) {
     Session session = sessions.get(hostId);
     if (session == null) {
       return;
     }
     if (message instanceof StartRuns && session.isIdle()) {
-      renewLease(hostId, session);
+      renewLease(hostId, session, decidedAtMs);
     }
     session.stream.recordSent(message);
     session.openRuns.apply(message);
@@ -193,9 +196,9 @@
   }
 
   /** Renews a host's lease before its first order: the lease of an idle host is left to expire. */
-  private void renewLease(String hostId, Session session) {
-    session.oldestRunOrderedAtMs = EventLoop.nowMs();
-    session.channel.ifPresent(channel -> sendHeartbeat(hostId, session, channel));
+  private void renewLease(String hostId, Session session, long decidedAtMs) {
+    session.oldestRunOrderedAtMs = decidedAtMs;
+    session.channel.ifPresent(channel -> sendHeartbeat(hostId, session, channel, decidedAtMs));
   }
 
   /**
@@ -221,13 +224,13 @@
     long periodMs =
         session.isIdle() ? RunTiming.IDLE_HEARTBEAT_INTERVAL_MS : RunTiming.HEARTBEAT_INTERVAL_MS;
     if (nowMs - session.heartbeatSentAtMs >= periodMs) {
-      session.channel.ifPresent(channel -> sendHeartbeat(hostId, session, channel));
+      session.channel.ifPresent(channel -> sendHeartbeat(hostId, session, channel, nowMs));
     }
   }
 
-  private void sendHeartbeat(String hostId, Session session, PeerChannel channel) {
-    session.heartbeatSentAtMs = EventLoop.nowMs();
-    channel.send(new OwnerBeat(session.heartbeatSentAtMs, listener.follows(hostId)));
+  private void sendHeartbeat(String hostId, Session session, PeerChannel channel, long nowMs) {
+    session.heartbeatSentAtMs = nowMs;
+    channel.send(new OwnerBeat(nowMs, listener.follows(hostId)));
   }
 
   private void checkSilence(String hostId, Session session, long nowMs) {
@@ -475,7 +478,7 @@
       session.channel = Optional.of(channel);
       session.receivedRows = HostRowsDecoder.create();
       channel.send(new SessionResumed(session.id, session.stream.receivedCount()));
-      sendHeartbeat(host.nodeId(), session, channel);
+      sendHeartbeat(host.nodeId(), session, channel, EventLoop.nowMs());
       session.stream.unacknowledged().forEach(channel::send);
       confirmStatement(host.nodeId(), session);
       long suspendedForMs = EventLoop.nowMs() - session.suspendedAtMs;
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -266,12 +266,12 @@
     }
     jobs.place(nowMs);
     // An answer may free a caller's connection for its next job, which schedules its own flush.
-    jobs.drainEffects().forEach(this::carryOut);
+    jobs.drainEffects().forEach(effect -> carryOut(effect, nowMs));
   }
 
-  private void carryOut(OwnerEffect effect) {
+  private void carryOut(OwnerEffect effect, long nowMs) {
     switch (effect) {
-      case OwnerEffect.SendToHost send -> hosts.send(send.hostId(), send.message());
+      case OwnerEffect.SendToHost send -> hosts.send(send.hostId(), send.message(), nowMs);
       case OwnerEffect.LogDecision logged -> log.write(logged.decision());
       case OwnerEffect.AnswerJob answer -> answer(answer.jobId(), answer.end());
     }
@@ -355,7 +355,7 @@
   }
 
   private void sendZones(String hostId) {
-    zones.newest().ifPresent(newest -> hosts.send(hostId, newest));
+    zones.newest().ifPresent(newest -> hosts.send(hostId, newest, EventLoop.nowMs()));
   }
 
   private final class ControlListener implements ControlLinks.Listener {
--- a/daemon/src/test/java/io/hingehoist/owner/PausedOwnerTest.java
+++ b/daemon/src/test/java/io/hingehoist/owner/PausedOwnerTest.java
@@ -15,8 +15,12 @@
 import io.hingehoist.message.HostRows;
 import io.hingehoist.message.KeepAlive;
 import io.hingehoist.message.Message;
+import io.hingehoist.message.OwnerBeat;
 import io.hingehoist.message.Role;
 import io.hingehoist.message.Room;
+import io.hingehoist.message.RunEnd;
+import io.hingehoist.message.RunEnded;
+import io.hingehoist.message.RunRef;
 import io.hingehoist.message.SessionOpened;
 import io.hingehoist.message.SessionResumed;
 import io.hingehoist.message.SessionUnknown;
@@ -33,6 +37,7 @@
 import io.hingehoist.run.JobEnd;
 import io.hingehoist.run.JobPlan;
 import io.hingehoist.run.StepPlan;
+import io.hingehoist.run.TaskNames;
 import io.hingehoist.settings.NodeSection;
 import io.hingehoist.settings.OwnerSection;
 import java.io.DataInputStream;
@@ -51,6 +56,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -100,7 +106,16 @@
   }
 
   /** A host with one empty worker. */
-  private record Host(BlockingQueue<String> events) implements PeerHandler {
+  private static final class Host implements PeerHandler {
+    private final BlockingQueue<String> events;
+    private final BlockingQueue<Long> leaseTimesMs;
+    private long heartbeatSentAtMs;
+
+    private Host(BlockingQueue<String> events, BlockingQueue<Long> leaseTimesMs) {
+      this.events = events;
+      this.leaseTimesMs = leaseTimesMs;
+    }
+
     @Override
     public void onOpen(PeerChannel channel) {
       WorkerRow row =
@@ -111,8 +126,13 @@
 
     @Override
     public void onMessage(PeerChannel channel, Message message) {
-      if (message instanceof StartRuns order) {
-        events.add("ordered " + order.jobId());
+      switch (message) {
+        case OwnerBeat heartbeat -> heartbeatSentAtMs = heartbeat.sentAtMs();
+        case StartRuns order -> {
+          leaseTimesMs.add(heartbeatSentAtMs);
+          events.add("ordered " + order.jobId());
+        }
+        default -> {}
       }
     }
 
@@ -129,6 +149,10 @@
   private OwnerNode owner;
   private JobIntake intake;
   private BlockingQueue<String> hostEvents;
+
+  /** For each order, the time from which the host's lease counted when the order arrived. */
+  private BlockingQueue<Long> leaseTimesMs;
+
   private PeerLink hostLink;
 
   @BeforeMethod
@@ -139,6 +163,7 @@
         DecisionLog.start(
             "o", new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8));
     hostEvents = new LinkedBlockingQueue<>();
+    leaseTimesMs = new LinkedBlockingQueue<>();
     address = freeAddress();
     startOwner();
     hostLink =
@@ -148,7 +173,7 @@
             "127.0.0.1:1",
             TimeUnit.SECONDS.toMillis(TIMEOUT_S),
             () -> HELLO,
-            new Host(hostEvents),
+            new Host(hostEvents, leaseTimesMs),
             Metrics.create());
   }
 
@@ -182,12 +207,16 @@
 
   private CompletableFuture<JobEnd> submit(String jobId) {
     CompletableFuture<JobEnd> end = new CompletableFuture<>();
-    JobPlan plan =
-        new JobPlan(jobId, "q", "s", "", 0, 3, 10_000, 10_000, List.of(StepPlan.of(1, NEED, 100)));
-    intake.submit(plan, end::complete);
+    submit(jobId, "s", end::complete);
     return end;
   }
 
+  private void submit(String jobId, String service, JobIntake.Waiter waiter) {
+    StepPlan step = StepPlan.of(1, NEED, 100);
+    intake.submit(
+        new JobPlan(jobId, "q", service, "", 0, 3, 10_000, 10_000, List.of(step)), waiter);
+  }
+
   private static void pauseUntilLeaseIsOver() {
     long endMs = EventLoop.nowMs() + RESUBMIT_AFTER_MS;
     while (EventLoop.nowMs() < endMs) {
@@ -224,6 +253,33 @@
     assertEquals(event, "closed");
   }
 
+  /** The host has no run of this owner, so its lease may be over without an end of its session. */
+  @Test
+  public void anOwnerThatIsPausedBetweenDecisionAndOrderRenewsNoLease() throws Exception {
+    CompletableFuture<JobEnd> firstEnd = new CompletableFuture<>();
+    ownerLoop.execute(() -> submit("first", "s", firstEnd::complete));
+    assertEquals(hostEvents.poll(TIMEOUT_S, TimeUnit.SECONDS), "ordered first");
+    RunEnded done = new RunEnded(new RunRef(TaskNames.of("first", 0, 0), 1), RunEnd.DONE, 1);
+    hostLoop.execute(() -> hostLink.send(done));
+    assertTrue(firstEnd.get(TIMEOUT_S, TimeUnit.SECONDS) instanceof JobEnd.Completed);
+    leaseTimesMs.clear();
+    AtomicLong pausedAtMs = new AtomicLong();
+    ownerLoop.execute(
+        () -> {
+          submit("cancelled", "none", end -> pauseFrom(pausedAtMs));
+          intake.cancel("cancelled");
+          submit("last");
+        });
+    assertEquals(hostEvents.poll(TIMEOUT_S, TimeUnit.SECONDS), "ordered last");
+    long leaseTimeMs = leaseTimesMs.remove();
+    assertTrue(leaseTimeMs <= pausedAtMs.get(), leaseTimeMs + " is after " + pausedAtMs);
+  }
+
+  private static void pauseFrom(AtomicLong startMs) {
+    startMs.set(EventLoop.nowMs());
+    pauseUntilLeaseIsOver();
+  }
+
   @Test
   public void aPausedOwnerRepeatsNoOrdersBeforeItHasDroppedItsJobs() throws Exception {
     ownerLoop.execute(() -> submit("first"));
