A resumed session sends its stops before it renews the lease

The run went on, though its job was cancelled or its caller had gone and brought it again.

Cause: on resumption the heartbeat went first, ahead of the unacknowledged messages. On an established connection a heartbeat follows the stops before it.

The heartbeat now follows the last unacknowledged stop. It still precedes the orders after that stop, since a host refuses orders without a valid lease; an order ahead of the stop may be refused so, and is then placed again.

Before, of HostSessionsTest: aResumedSessionRenewsNoLeaseBeforeItsStops failed (expected [order a] but found [heartbeat]). aResumedSessionRenewsTheLeaseBeforeItsOrders passed and holds the other half. That a connection fails between the two was not played.

--- a/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
+++ b/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
@@ -14,6 +14,7 @@
 import io.hingehoist.message.SessionResumed;
 import io.hingehoist.message.SessionUnknown;
 import io.hingehoist.message.StartRuns;
+import io.hingehoist.message.StopRun;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.net.EventLoop;
 import io.hingehoist.net.PeerChannel;
@@ -478,13 +479,33 @@
       session.channel = Optional.of(channel);
       session.receivedRows = HostRowsDecoder.create();
       channel.send(new SessionResumed(session.id, session.stream.receivedCount()));
-      sendHeartbeat(host.nodeId(), session, channel, EventLoop.nowMs());
-      session.stream.unacknowledged().forEach(channel::send);
+      repeatUnacknowledged(host.nodeId(), session, channel);
       confirmStatement(host.nodeId(), session);
       long suspendedForMs = EventLoop.nowMs() - session.suspendedAtMs;
       listener.onResumed(host.nodeId(), suspendedForMs, session.stream.unacknowledgedCount());
     }
 
+    /**
+     * Repeats the messages that the host has not acknowledged. The heartbeat follows the last stop,
+     * as the connection may fail before the host receives it, and precedes the orders after that,
+     * as the host refuses orders without a valid lease.
+     */
+    private void repeatUnacknowledged(String hostId, Session session, PeerChannel channel) {
+      List<Message> messages = session.stream.unacknowledged();
+      int heartbeatIndex = indexAfterLastStop(messages);
+      messages.subList(0, heartbeatIndex).forEach(channel::send);
+      sendHeartbeat(hostId, session, channel, EventLoop.nowMs());
+      messages.subList(heartbeatIndex, messages.size()).forEach(channel::send);
+    }
+
+    private int indexAfterLastStop(List<Message> messages) {
+      int index = messages.size();
+      while (index > 0 && !(messages.get(index - 1) instanceof StopRun)) {
+        index--;
+      }
+      return index;
+    }
+
     private void handleMessage(String hostId, Session session, Message message) {
       switch (message) {
         case SessionOpened opened -> recordStatement(hostId, session, opened);
--- a/daemon/src/test/java/io/hingehoist/owner/HostSessionsTest.java
+++ b/daemon/src/test/java/io/hingehoist/owner/HostSessionsTest.java
@@ -7,10 +7,15 @@
 
 import io.hingehoist.message.Hello;
 import io.hingehoist.message.Message;
+import io.hingehoist.message.OwnerBeat;
 import io.hingehoist.message.Peer;
 import io.hingehoist.message.Role;
+import io.hingehoist.message.Room;
+import io.hingehoist.message.RunRef;
 import io.hingehoist.message.SessionOpened;
 import io.hingehoist.message.SessionResumed;
+import io.hingehoist.message.StartRuns;
+import io.hingehoist.message.StopRun;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.net.EventLoop;
 import io.hingehoist.net.PeerChannel;
@@ -99,14 +104,22 @@
   }
 
   /** A host that resumes a session. */
-  private record ResumingHost(long sessionId) implements PeerHandler {
+  private record ResumingHost(long sessionId, BlockingQueue<String> received)
+      implements PeerHandler {
     @Override
     public void onOpen(PeerChannel channel) {
       channel.send(new SessionResumed(sessionId, 0));
     }
 
     @Override
-    public void onMessage(PeerChannel channel, Message message) {}
+    public void onMessage(PeerChannel channel, Message message) {
+      switch (message) {
+        case OwnerBeat heartbeat -> received.add("heartbeat");
+        case StartRuns order -> received.add("order " + order.runs().getFirst().task());
+        case StopRun stop -> received.add("stop " + stop.run().task());
+        default -> {}
+      }
+    }
 
     @Override
     public void onClosed(PeerChannel channel) {}
@@ -274,7 +287,7 @@
     openSessionOfEndedProcess(INCARNATION, 1);
     assertFormerRunsOver(false);
     assertNotNull(suspendedAtMs.poll(TIMEOUT_S, TimeUnit.SECONDS));
-    PeerLink link = connect(INCARNATION, new ResumingHost(1));
+    PeerLink link = connect(INCARNATION, new ResumingHost(1, new LinkedBlockingQueue<>()));
     assertFormerRunsOver(true);
     loop.execute(link::close);
   }
@@ -284,4 +297,37 @@
     assertNotNull(opening);
     assertEquals(opening.formerRunsOver(), expected);
   }
+
+  /** If the connection failed in between, the run would go on for another lease. */
+  @Test
+  public void aResumedSessionRenewsNoLeaseBeforeItsStops() throws Exception {
+    assertRepeatedOnResumption(
+        List.of(order("a"), stop("a"), order("b")), "order a", "stop a", "heartbeat", "order b");
+  }
+
+  /** A host refuses an order without a valid lease. */
+  @Test
+  public void aResumedSessionRenewsTheLeaseBeforeItsOrders() throws Exception {
+    assertRepeatedOnResumption(List.of(order("a")), "heartbeat", "order a");
+  }
+
+  private void assertRepeatedOnResumption(List<Message> sent, String... expected) throws Exception {
+    openSessionOfEndedProcess(INCARNATION, 1);
+    assertNotNull(suspendedAtMs.poll(TIMEOUT_S, TimeUnit.SECONDS));
+    loop.execute(() -> sent.forEach(message -> sessions.send(HOST, message, EventLoop.nowMs())));
+    BlockingQueue<String> received = new LinkedBlockingQueue<>();
+    PeerLink link = connect(INCARNATION, new ResumingHost(1, received));
+    for (String event : expected) {
+      assertEquals(received.poll(TIMEOUT_S, TimeUnit.SECONDS), event);
+    }
+    loop.execute(link::close);
+  }
+
+  private static StartRuns order(String task) {
+    return new StartRuns(1, "w", "job", "", 10, new Room(1, 1, 0), List.of(new RunRef(task, 1)));
+  }
+
+  private static StopRun stop(String task) {
+    return new StopRun(new RunRef(task, 1));
+  }
 }
