A disconnection is handled before the work of the request that it follows

Callers would see a task run twice: connections that callers open while an owner is paused wait in its socket, with their requests. A caller without an answer disconnects and brings its job to another owner later. After the pause the owner read the request, placed its job and ordered runs, and learned of the disconnection only then. The check for a pause doesn't cover this, as such a connection is accepted first and read an iteration later.

Cause: Netty stops reading a socket once a read has not filled the buffer, so the end of the connection is read in a later iteration of the event loop. And a closed channel becomes inactive in a later task, behind the flush that the request has scheduled.

HttpServer now reads a socket until it is empty (at most 16 reads, as before), and HttpConnection ends its requests as soon as the channel closes. An end that has not arrived by then, as on a silent connection, is not seen earlier. A caller that closes only its sending side counted as disconnected before, and still does.

Before, HttpServerTest.aDisconnectionIsHandledBeforeTheWorkOfARequestThatItFollows failed in its four cases, closed or reset, with and without a body (expected [disconnected] but found [work]).

Cost: one more read for each request.

--- a/daemon/src/main/java/io/hingehoist/net/HttpConnection.java
+++ b/daemon/src/main/java/io/hingehoist/net/HttpConnection.java
@@ -46,6 +46,15 @@
     this.loop = loop;
   }
 
+  /**
+   * Ends the requests as soon as the connection closes. The channel becomes inactive only in a
+   * later task of the loop, after those that the requests have scheduled.
+   */
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    context.channel().closeFuture().addListener(closed -> endRequests());
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object part) {
     try {
@@ -187,6 +196,11 @@
   public void channelInactive(ChannelHandlerContext context) {
     body.release();
     body = Unpooled.EMPTY_BUFFER;
+    // The decoder may complete a request after the connection has closed.
+    endRequests();
+  }
+
+  private void endRequests() {
     waiting.clear();
     if (inFlight.isPresent()) {
       HttpExchange exchange = inFlight.get();
--- a/daemon/src/main/java/io/hingehoist/net/HttpServer.java
+++ b/daemon/src/main/java/io/hingehoist/net/HttpServer.java
@@ -2,9 +2,11 @@
 
 import io.hingehoist.wire.Addresses;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -15,6 +17,9 @@
   private static final int BACKLOG = 1_024;
   private static final int MAX_HEADER_BYTES = 16 * 1024;
 
+  /** Netty's default; bounds the time for which one connection delays the others. */
+  private static final int MAX_READS_PER_ITERATION = 16;
+
   private final Channel listener;
   private final int maxBodyBytes;
   private final HttpHandler handler;
@@ -32,6 +37,7 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, readUntilEmpty())
             .childHandler(
                 new ChannelInitializer<Channel>() {
                   @Override
@@ -59,6 +65,17 @@
     return new HttpServer(loop, address, maxBodyBytes, handler);
   }
 
+  /**
+   * Returns an allocator with which a socket is read until it is empty, up to a limit. By default,
+   * the end of a connection is read in a later iteration of the loop than a request before it,
+   * which would be handled for a caller that has already disconnected.
+   */
+  private static RecvByteBufAllocator readUntilEmpty() {
+    return new AdaptiveRecvByteBufAllocator()
+        .respectMaybeMoreData(false)
+        .maxMessagesPerRead(MAX_READS_PER_ITERATION);
+  }
+
   int maxBodyBytes() {
     return maxBodyBytes;
   }
--- /dev/null
+++ b/daemon/src/test/java/io/hingehoist/net/HttpServerTest.java
@@ -0,0 +1,91 @@
+package io.hingehoist.net;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public final class HttpServerTest {
+  private static final long TIMEOUT_S = 10;
+  private static final int MAX_BODY_BYTES = 64 * 1024;
+
+  private BlockingQueue<String> events;
+  private EventLoop loop;
+  private HttpServer server;
+  private int port;
+
+  @BeforeMethod
+  public void open() throws IOException {
+    events = new LinkedBlockingQueue<>();
+    loop = EventLoop.start(Throwable::printStackTrace);
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      port = socket.getLocalPort();
+    }
+    server = HttpServer.open(loop, "127.0.0.1:" + port, MAX_BODY_BYTES, this::handle);
+  }
+
+  @AfterMethod
+  public void close() {
+    server.close();
+    loop.close();
+  }
+
+  /** Defers its work to a later task of the loop, as nodes do. */
+  private void handle(HttpExchange exchange) {
+    events.add("request");
+    exchange.onDisconnect(() -> events.add("disconnected"));
+    loop.execute(() -> events.add("work"));
+  }
+
+  @DataProvider
+  public static Object[][] disconnections() {
+    return new Object[][] {{"closed", 0}, {"closed", 10_000}, {"reset", 0}, {"reset", 10_000}};
+  }
+
+  /** Otherwise a process that was paused works for callers that disconnected meanwhile. */
+  @Test(dataProvider = "disconnections")
+  public void aDisconnectionIsHandledBeforeTheWorkOfARequestThatItFollows(String how, int bodyBytes)
+      throws Exception {
+    CountDownLatch paused = new CountDownLatch(1);
+    CountDownLatch disconnected = new CountDownLatch(1);
+    loop.execute(
+        () -> {
+          paused.countDown();
+          awaitUninterruptibly(disconnected);
+        });
+    assertTrue(paused.await(TIMEOUT_S, TimeUnit.SECONDS));
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      socket.setSoLinger(how.equals("reset"), 0);
+      socket.getOutputStream().write(request(bodyBytes));
+    }
+    disconnected.countDown();
+    assertEquals(events.poll(TIMEOUT_S, TimeUnit.SECONDS), "request");
+    assertEquals(events.poll(TIMEOUT_S, TimeUnit.SECONDS), "disconnected");
+    assertEquals(events.poll(TIMEOUT_S, TimeUnit.SECONDS), "work");
+  }
+
+  private static byte[] request(int bodyBytes) {
+    String head = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + bodyBytes + "\r\n\r\n";
+    return (head + "b".repeat(bodyBytes)).getBytes(StandardCharsets.US_ASCII);
+  }
+
+  private static void awaitUninterruptibly(CountDownLatch latch) {
+    try {
+      assertTrue(latch.await(TIMEOUT_S, TimeUnit.SECONDS));
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
