--- a/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
+++ b/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
@@ -14,6 +14,7 @@
 import io.hingehoist.message.SessionResumed;
 import io.hingehoist.message.SessionUnknown;
 import io.hingehoist.message.StartRuns;
+import io.hingehoist.message.StopRun;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.net.EventLoop;
 import io.hingehoist.net.PeerChannel;
@@ -50,8 +51,14 @@
   /** Handles the events of sessions. Called on the event loop. */
   interface Listener {
     /**
-     * Called when a host opens a session, and when it repeats that message because all runs of
-     * former sessions are over.
+     * Called before a message of a host is handled, which may send messages at once. May end all
+     * sessions.
+     */
+    void beforeMessage();
+
+    /**
+     * Called when a host opens a session, and again once it has confirmed that all runs of former
+     * sessions are over.
      */
     void onOpened(String hostId, SessionOpened opened);
 
@@ -101,6 +108,9 @@
     private long suspendedAtMs;
     private long heartbeatSentAtMs;
 
+    /** The host's statement that all runs of former sessions are over, until it is confirmed. */
+    private Optional<SessionOpened> unconfirmedStatement = Optional.empty();
+
     /** The time at which the oldest run that may still be in progress was ordered. */
     private long oldestRunOrderedAtMs;
 
@@ -117,6 +127,10 @@
       return channel.filter(other::equals).isPresent();
     }
 
+    private boolean isReceiving() {
+      return channel.isPresent() && !silent;
+    }
+
     private boolean isIdle() {
       return openRuns.isEmpty();
     }
@@ -165,14 +179,17 @@
   /**
    * Sends a message on a session's connection. A message with guaranteed delivery is kept, and sent
    * again on the session's next connection until it is acknowledged.
+   *
+   * @param decidedAtMs the time of the decision to send it. A lease that is renewed for an order
+   *     counts from then, so that it has expired if this process was paused in between
    */
-  void send(String hostId, Message message) {
+  void send(String hostId, Message message, long decidedAtMs) {
     Session session = sessions.get(hostId);
     if (session == null) {
       return;
     }
     if (message instanceof StartRuns && session.isIdle()) {
-      renewLease(hostId, session);
+      renewLease(hostId, session, decidedAtMs);
     }
     session.stream.recordSent(message);
     session.openRuns.apply(message);
@@ -180,9 +197,9 @@
   }
 
   /** Renews a host's lease before its first order: the lease of an idle host is left to expire. */
-  private void renewLease(String hostId, Session session) {
-    session.oldestRunOrderedAtMs = EventLoop.nowMs();
-    session.channel.ifPresent(channel -> sendHeartbeat(hostId, session, channel));
+  private void renewLease(String hostId, Session session, long decidedAtMs) {
+    session.oldestRunOrderedAtMs = decidedAtMs;
+    session.channel.ifPresent(channel -> sendHeartbeat(hostId, session, channel, decidedAtMs));
   }
 
   /**
@@ -208,13 +225,13 @@
     long periodMs =
         session.isIdle() ? RunTiming.IDLE_HEARTBEAT_INTERVAL_MS : RunTiming.HEARTBEAT_INTERVAL_MS;
     if (nowMs - session.heartbeatSentAtMs >= periodMs) {
-      session.channel.ifPresent(channel -> sendHeartbeat(hostId, session, channel));
+      session.channel.ifPresent(channel -> sendHeartbeat(hostId, session, channel, nowMs));
     }
   }
 
-  private void sendHeartbeat(String hostId, Session session, PeerChannel channel) {
-    session.heartbeatSentAtMs = EventLoop.nowMs();
-    channel.send(new OwnerBeat(session.heartbeatSentAtMs, listener.follows(hostId)));
+  private void sendHeartbeat(String hostId, Session session, PeerChannel channel, long nowMs) {
+    session.heartbeatSentAtMs = nowMs;
+    channel.send(new OwnerBeat(nowMs, listener.follows(hostId)));
   }
 
   private void checkSilence(String hostId, Session session, long nowMs) {
@@ -263,7 +280,7 @@
 
   private boolean isReceiving(String hostId) {
     Session session = sessions.get(hostId);
-    return session != null && session.channel.isPresent() && !session.silent;
+    return session != null && session.isReceiving();
   }
 
   private void announceTo(Peer host) {
@@ -319,6 +336,10 @@
 
     @Override
     public void onMessage(PeerChannel channel, Message message) {
+      listener.beforeMessage();
+      if (!channel.isOpen()) {
+        return;
+      }
       if (host.isPresent()) {
         handleMessage(host.get(), channel, message);
       } else if (message instanceof Hello hello && hello.role() == Role.AGENT) {
@@ -338,6 +359,10 @@
         handleMessage(host.nodeId(), session, message);
         return;
       }
+      if (session != null && mayBeDelayed(host, session)) {
+        channel.close();
+        return;
+      }
       switch (message) {
         case SessionOpened opened -> openSession(host, channel, opened);
         case SessionResumed resumed -> resumeSession(host, channel, resumed);
@@ -355,7 +380,16 @@
     }
 
     /**
-     * Returns whether a newer session of the same host is known. Session ids increase within an
+     * Returns whether a message comes from another process of the host while a session is receiving
+     * messages. A host has one process at a time, so the message was probably delayed. A process
+     * whose predecessor ended without notice connects again until that session is silent.
+     */
+    private boolean mayBeDelayed(Hello host, Session session) {
+      return session.hostIncarnation != host.incarnation() && session.isReceiving();
+    }
+
+    /**
+     * Returns whether a newer session of the same process is known. Session ids increase within an
      * incarnation, so a message with a lower id was delayed.
      */
     private boolean isOutdated(Hello host, SessionOpened opened) {
@@ -371,14 +405,61 @@
         return;
       }
       long nowMs = EventLoop.nowMs();
-      endSession(host.nodeId(), false, nowMs);
+      endReplaced(host, nowMs);
       Session session = new Session(opened.sessionId(), host.incarnation(), channel);
       sessions.put(host.nodeId(), session);
       session.stream.recordReceived(opened);
       // Whether to follow this host is known only after it has sent more about itself.
       session.heartbeatSentAtMs = nowMs;
       channel.send(new OwnerBeat(nowMs, true));
-      listener.onOpened(host.nodeId(), opened);
+      listener.onOpened(host.nodeId(), withoutStatement(opened));
+      recordStatement(host.nodeId(), session, opened);
+    }
+
+    /**
+     * Ends the session that a new one replaces. Its own process has ended it before it opened the
+     * new one; another process may have sent the opening before that session.
+     */
+    private void endReplaced(Hello host, long nowMs) {
+      Session replaced = sessions.get(host.nodeId());
+      if (replaced != null) {
+        boolean mayHoldLease = replaced.hostIncarnation != host.incarnation();
+        long renewedAtMs = replaced.channel.isPresent() ? nowMs : replaced.suspendedAtMs;
+        endSession(host.nodeId(), mayHoldLease, mayHoldLease ? renewedAtMs : nowMs);
+      }
+    }
+
+    private SessionOpened withoutStatement(SessionOpened opened) {
+      return new SessionOpened(
+          opened.sessionId(), opened.hostId(), opened.hostIncarnation(), opened.zone(), false);
+    }
+
+    private void recordStatement(String hostId, Session session, SessionOpened opened) {
+      if (opened.formerRunsOver()) {
+        session.unconfirmedStatement = Optional.of(opened);
+        confirmStatement(hostId, session);
+      }
+    }
+
+    /**
+     * Reports the host's statement on runs of former sessions once it has answered on the session's
+     * connection. Without an answer, the statement may have been delayed, and the host may have
+     * accepted runs on a later session, which has ended here since.
+     */
+    private void confirmStatement(String hostId, Session session) {
+      if (session.unconfirmedStatement.isPresent()) {
+        PeerChannel channel = session.channel.orElseThrow();
+        channel.confirmOpen(() -> onConfirmed(hostId, session, channel));
+      }
+    }
+
+    private void onConfirmed(String hostId, Session session, PeerChannel channel) {
+      boolean current = sessions.get(hostId) == session && session.usesChannel(channel);
+      if (current && session.unconfirmedStatement.isPresent()) {
+        SessionOpened statement = session.unconfirmedStatement.get();
+        session.unconfirmedStatement = Optional.empty();
+        listener.onOpened(hostId, statement);
+      }
     }
 
     private void resumeSession(Hello host, PeerChannel channel, SessionResumed resumed) {
@@ -398,15 +479,36 @@
       session.channel = Optional.of(channel);
       session.receivedRows = HostRowsDecoder.create();
       channel.send(new SessionResumed(session.id, session.stream.receivedCount()));
-      sendHeartbeat(host.nodeId(), session, channel);
-      session.stream.unacknowledged().forEach(channel::send);
+      repeatUnacknowledged(host.nodeId(), session, channel);
+      confirmStatement(host.nodeId(), session);
       long suspendedForMs = EventLoop.nowMs() - session.suspendedAtMs;
       listener.onResumed(host.nodeId(), suspendedForMs, session.stream.unacknowledgedCount());
     }
 
+    /**
+     * Repeats the messages that the host has not acknowledged. The heartbeat follows the last stop,
+     * as the connection may fail before the host receives it, and precedes the orders after that,
+     * as the host refuses orders without a valid lease.
+     */
+    private void repeatUnacknowledged(String hostId, Session session, PeerChannel channel) {
+      List<Message> messages = session.stream.unacknowledged();
+      int heartbeatIndex = indexAfterLastStop(messages);
+      messages.subList(0, heartbeatIndex).forEach(channel::send);
+      sendHeartbeat(hostId, session, channel, EventLoop.nowMs());
+      messages.subList(heartbeatIndex, messages.size()).forEach(channel::send);
+    }
+
+    private int indexAfterLastStop(List<Message> messages) {
+      int index = messages.size();
+      while (index > 0 && !(messages.get(index - 1) instanceof StopRun)) {
+        index--;
+      }
+      return index;
+    }
+
     private void handleMessage(String hostId, Session session, Message message) {
       switch (message) {
-        case SessionOpened opened -> listener.onOpened(hostId, opened);
+        case SessionOpened opened -> recordStatement(hostId, session, opened);
         case SessionAck ack -> handleAck(session, ack);
         case Announce announce -> listener.onAnnounce(announce.self());
         case SessionProbe probe ->
