Short sleeps of a box add up

Callers would see a task run twice: a host whose box was suspended many times for less than 100 ms each, with short gaps, kept runs going long after their owner counted them as over.

Cause: SleepDetector compared the clocks with those of the last call only, so a sleep of less than 100 ms was forgotten, however many followed.

Evidence: SleepDetectorTest.shortSleepsInASeriesAddUpToASleep failed before ("expected [160] but found [0]").

The time by which the time of day runs ahead is now added up, less a hundredth of the time that passes, so that drift between the clocks is no sleep. The calculation moves to core (SleepEstimator), where RunSimulation uses it.

--- a/core/src/test/java/io/hingehoist/run/BoxClock.java
+++ b/core/src/test/java/io/hingehoist/run/BoxClock.java
@@ -5,11 +5,9 @@
  * of day advances.
  */
 final class BoxClock {
-  private static final long MIN_SLEEP_MS = 100;
-
   private long suspendedUntilMs;
   private long suspendedMs;
-  private long checkedSuspendedMs;
+  private SleepEstimator estimator = SleepEstimator.at(0, 0);
 
   /** Suspends the box for a time. Requires that it is not suspended. */
   void suspend(long durationMs, long timeOfDayMs) {
@@ -26,10 +24,13 @@
     return Math.max(timeOfDayMs, suspendedUntilMs) - suspendedMs;
   }
 
-  /** Returns how long the box may have slept since the last call, as its process determines it. */
-  long sleptMs() {
-    long sleptMs = suspendedMs - checkedSuspendedMs;
-    checkedSuspendedMs = suspendedMs;
-    return sleptMs >= MIN_SLEEP_MS ? sleptMs : 0;
+  /** Returns how long the box may have slept, as the estimator of its process determines it. */
+  long sleptMs(long timeOfDayMs) {
+    return estimator.sleptMs(nowMs(timeOfDayMs), timeOfDayMs);
+  }
+
+  /** Handles the start of a process, which knows of no earlier suspension. */
+  void processStarted(long timeOfDayMs) {
+    estimator = SleepEstimator.at(nowMs(timeOfDayMs), timeOfDayMs);
   }
 }
--- a/core/src/test/java/io/hingehoist/run/RunSimulation.java
+++ b/core/src/test/java/io/hingehoist/run/RunSimulation.java
@@ -111,7 +111,7 @@
     }
 
     void checkSleep() {
-      long sleptMs = clock.sleptMs();
+      long sleptMs = clock.sleptMs(nowMs);
       if (sleptMs >= TIMING.ownerLeaseMs() && jobs.jobCount() > 0) {
         List<Session> probed =
             sessions.values().stream()
@@ -177,7 +177,7 @@
     }
 
     void checkSleep() {
-      long sleptMs = clock.sleptMs();
+      long sleptMs = clock.sleptMs(nowMs);
       if (sleptMs > 0) {
         host.mayHaveSlept(sleptMs, clockMs());
       }
@@ -873,9 +873,9 @@
     }
   }
 
-  private static void restart(HostBox box) {
+  private void restart(HostBox box) {
     if (!box.isSuspended()) {
-      box.clock.sleptMs();
+      box.clock.processStarted(nowMs);
       box.restart();
     }
   }
@@ -905,7 +905,7 @@
     if (owner.isSuspended()) {
       return;
     }
-    owner.clock.sleptMs();
+    owner.clock.processStarted(nowMs);
     owner.sleepCheck = SleepCheck.create();
     owner.jobs = newOwner(owner.id);
     List.copyOf(owner.sessions.values())
--- a/daemon/src/main/java/io/hingehoist/loop/SleepDetector.java
+++ b/daemon/src/main/java/io/hingehoist/loop/SleepDetector.java
@@ -1,5 +1,7 @@
 package io.hingehoist.loop;
 
+import io.hingehoist.run.SleepEstimator;
+
 /**
  * Detects that this box may have been asleep (a suspend of the system or its virtual machine): its
  * monotonic clock stops during a sleep, while the time of day advances. As the time of day may also
@@ -8,13 +10,10 @@
  * node.
  */
 public final class SleepDetector {
-  /** Far below any lease, and above the drift between the clocks of a box between two calls. */
-  private static final long MIN_SLEEP_MS = 100;
-
-  private long clockOffsetMs;
+  private final SleepEstimator estimator;
 
-  private SleepDetector(long clockOffsetMs) {
-    this.clockOffsetMs = clockOffsetMs;
+  private SleepDetector(SleepEstimator estimator) {
+    this.estimator = estimator;
   }
 
   /** Creates a detector that starts now. */
@@ -24,19 +23,16 @@
 
   /** Creates a detector that starts at the given times of both clocks. */
   static SleepDetector at(long monotonicMs, long timeOfDayMs) {
-    return new SleepDetector(timeOfDayMs - monotonicMs);
+    return new SleepDetector(SleepEstimator.at(monotonicMs, timeOfDayMs));
   }
 
-  /** Returns how long this box may have slept since the last call; 0 if it has not slept. */
+  /** Returns how long this box may have slept and was not yet reported to have; 0 if it has not. */
   public long sleptMs() {
     return sleptMs(InboxLoop.nowMs(), System.currentTimeMillis());
   }
 
-  /** Returns how long this box may have slept since the last call, by times of both clocks. */
+  /** Returns the same by times of both clocks. */
   long sleptMs(long monotonicMs, long timeOfDayMs) {
-    long newClockOffsetMs = timeOfDayMs - monotonicMs;
-    long jumpMs = newClockOffsetMs - clockOffsetMs;
-    clockOffsetMs = newClockOffsetMs;
-    return jumpMs >= MIN_SLEEP_MS ? jumpMs : 0;
+    return estimator.sleptMs(monotonicMs, timeOfDayMs);
   }
 }
--- a/daemon/src/test/java/io/hingehoist/loop/SleepDetectorTest.java
+++ b/daemon/src/test/java/io/hingehoist/loop/SleepDetectorTest.java
@@ -26,4 +26,20 @@
     SleepDetector detector = SleepDetector.at(1_000, 900_000);
     assertEquals(detector.sleptMs(9_000, 908_000), 0);
   }
+
+  @Test
+  public void shortSleepsInASeriesAddUpToASleep() {
+    SleepDetector detector = SleepDetector.at(1_000, 900_000);
+    assertEquals(detector.sleptMs(1_010, 900_090), 0);
+    assertEquals(detector.sleptMs(1_020, 900_180), 160);
+    assertEquals(detector.sleptMs(1_030, 900_190), 0);
+  }
+
+  @Test
+  public void driftInManySmallStepsIsNoSleep() {
+    SleepDetector detector = SleepDetector.at(1_000, 900_000);
+    for (long ms = 0; ms <= 100_000; ms += 10) {
+      assertEquals(detector.sleptMs(1_000 + ms, 900_000 + ms + ms / 200), 0);
+    }
+  }
 }
