--- a/core/src/test/java/io/hingehoist/run/RunSimulation.java
+++ b/core/src/test/java/io/hingehoist/run/RunSimulation.java
@@ -113,7 +113,7 @@
     }
 
     void checkSleep() {
-      long sleptMs = clock.sleptMs();
+      long sleptMs = clock.sleptMs(nowMs);
       if (sleptMs >= TIMING.ownerLeaseMs() && jobs.jobCount() > 0) {
         List<Session> probed =
             sessions.values().stream()
@@ -182,7 +182,7 @@
     }
 
     void checkSleep() {
-      long sleptMs = clock.sleptMs();
+      long sleptMs = clock.sleptMs(nowMs);
       if (sleptMs > 0) {
         host.mayHaveSlept(sleptMs, clockMs());
       }
@@ -914,9 +914,9 @@
     }
   }
 
-  private static void restart(HostBox box) {
+  private void restart(HostBox box) {
     if (!box.isSuspended()) {
-      box.clock.sleptMs();
+      box.clock.processStarted(nowMs);
       box.restart();
     }
   }
@@ -946,7 +946,7 @@
     if (owner.isSuspended()) {
       return;
     }
-    owner.clock.sleptMs();
+    owner.clock.processStarted(nowMs);
     owner.sleepCheck = SleepCheck.create();
     owner.jobs = newOwner(owner.id);
     List.copyOf(owner.sessions.values())
