A call to a worker that times out resets its connection

A worker that was cut off from its host crashed and started again under its id behind the cut. The host's start calls had no answer; it gave them up, waited for the lease and reported the runs as lost, and their owner ordered the tasks elsewhere. When the cut healed, the calls that it had held up reached the new instance, which has the id and the address of the former one and a new clock, so that no deadline was over for it.

Cause: a timed-out call closed its connection, and a closed connection still delivers what it holds. The protocol drops what a cut holds up only if its sender resets the connection. Links between our own processes did so already (Resets), calls to workers did not.

PooledHttpClientTest.aCallThatTimesOutResetsItsConnection fails before: the server reads the end of the connection where it now reads a reset.

--- a/daemon/src/main/java/io/hingehoist/net/PooledHttpClient.java
+++ b/daemon/src/main/java/io/hingehoist/net/PooledHttpClient.java
@@ -35,7 +35,7 @@
    * A request to send.
    *
    * @param instance the instance of the called process that the request is for; empty for any
-   * @param timeoutMs the timeout of the response, after which the connection is closed
+   * @param timeoutMs the timeout of the response, after which the connection is reset
    * @param newConnection whether to open a new connection even if an idle one is available
    */
   public record Call(
@@ -168,7 +168,7 @@
     private void send(PendingCall next) {
       inFlight = Optional.of(next);
       channel.writeAndFlush(toRequest(next.call()), channel.voidPromise());
-      cancelTimeout = loop.schedule(channel::close, next.call().timeoutMs());
+      cancelTimeout = loop.schedule(() -> Resets.reset(channel), next.call().timeoutMs());
     }
 
     /** Removes and returns the request in flight, if there is one. */
