The relay of the stand-ins holds back the end of a connection while it is cut

A process that ended behind a cut was noticed through the cut: the relay held back data but closed the other side at once.

Evidence: RelayTest.holdsBackTheEndOfAConnectionWhileItIsCut failed before with "Expected SocketTimeoutException to be thrown, but nothing was thrown"; RelayTest passes with the change. A reset by the relay itself still ends connections at once, and so does a write to a side that has closed its connection.

--- a/benchmark/src/main/java/io/hingehoist/standin/Relay.java
+++ b/benchmark/src/main/java/io/hingehoist/standin/Relay.java
@@ -17,11 +17,11 @@
 
 /**
  * A TCP relay in front of one address, which simulates network faults. It can delay all data, and
- * cut a direction of the connections that come from a source IP address: their data is held back,
- * as TCP holds it back while all packets are lost, and is delivered late once the link is healed.
- * It can also discard the data of all open connections for good while new connections work, as a
- * middlebox does that has lost their state, and refuse new connections while open ones continue.
- * Thread-safe.
+ * cut a direction of the connections that come from a source IP address: their data and their ends
+ * are held back, as TCP holds them back while all packets are lost, and are delivered late once the
+ * link is healed. It can also discard the data of all open connections for good while new
+ * connections work, as a middlebox does that has lost their state, and refuse new connections while
+ * open ones continue. Thread-safe.
  */
 public final class Relay implements AutoCloseable {
   /** The direction of data through a relay. */
@@ -227,6 +227,7 @@
         }
         chunk = queue.take();
       }
+      waitWhileCut(source, direction);
     } catch (IOException e) {
       // The receiving side has closed the connection.
     } catch (InterruptedException e) {
--- a/benchmark/src/test/java/io/hingehoist/standin/RelayTest.java
+++ b/benchmark/src/test/java/io/hingehoist/standin/RelayTest.java
@@ -9,6 +9,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -16,6 +17,8 @@
 public final class RelayTest {
   private static final int PORT = 8_100;
   private static final int TARGET_PORT = 18_100;
+  private static final int CUT_MS = 200;
+  private static final int TIMEOUT_MS = 10_000;
 
   private LoopbackNetwork network;
   private String ip;
@@ -62,6 +65,20 @@
     }
   }
 
+  @Test
+  public void holdsBackTheEndOfAConnectionWhileItIsCut() throws IOException {
+    try (Socket clientSocket = new Socket(ip, PORT);
+        Socket targetSocket = target.accept()) {
+      relay.cutAll();
+      targetSocket.shutdownOutput();
+      clientSocket.setSoTimeout(CUT_MS);
+      assertThrows(SocketTimeoutException.class, () -> clientSocket.getInputStream().read());
+      relay.heal();
+      clientSocket.setSoTimeout(TIMEOUT_MS);
+      assertEquals(clientSocket.getInputStream().read(), -1);
+    }
+  }
+
   private void assertConnectionRefused() {
     assertThrows(ConnectException.class, () -> new Socket(ip, PORT).close());
   }
