A run that is listed although its stop was confirmed is stopped again

Callers would see: a task that another worker runs at the same time, and a worker that keeps room for a run without an end. The host took a confirmed stop for the end of its part: it waited for a list without the run, and a worker that went on with it was never told again.

Evidence: OverdueStopTest.aRunThatContinuesAfterAConfirmedStopIsStoppedAgain fails before (no second stop call). The stop is repeated once a list that was requested a kill grace after the confirmation still shows the run, and logged as stoppedRunListed.

--- a/core/src/main/java/io/hingehoist/run/host/RunController.java
+++ b/core/src/main/java/io/hingehoist/run/host/RunController.java
@@ -323,6 +323,14 @@
     }
   }
 
+  /** Stops a run that continues although the worker has confirmed its stop. */
+  void stopAgain(WorkerInstance instance, HostedRun run, long nowMs) {
+    outbox.logDecision(
+        "stoppedRunListed", run.run.task(), instance.id(), "run=" + run.run.number());
+    run.state = HostedRun.State.STOPPING;
+    callStop(instance, run, nowMs);
+  }
+
   /** Repeats the stop calls of a worker that failed and are not pending. */
   void repeatStops(WorkerInstance instance, long nowMs) {
     for (HostedRun run : instance.runs()) {
--- a/core/src/main/java/io/hingehoist/run/host/WorkerPoller.java
+++ b/core/src/main/java/io/hingehoist/run/host/WorkerPoller.java
@@ -289,7 +289,8 @@
 
   /**
    * Ends a run that is missing in a list if it can't start any more: its stop was confirmed before
-   * the list was requested, or the deadlines of its start calls had passed.
+   * the list was requested, or the deadlines of its start calls had passed. A run that is listed
+   * although its stop was confirmed is stopped again.
    */
   private void endIfGone(
       WorkerInstance instance, HostedRun run, PollResult.Listed listed, long nowMs) {
@@ -299,8 +300,13 @@
           case STOPPING -> instance.pollSentAtMs >= run.startCallsExpireAtMs;
           case ORDERED, RUNNING, UNCONFIRMED -> false;
         };
-    if (startsImpossible && !listed.contains(run.run)) {
+    if (!startsImpossible) {
+      return;
+    }
+    if (!listed.contains(run.run)) {
       runController.endRun(instance, run, RunEnd.STOPPED, EndEvidence.NOT_LISTED, nowMs);
+    } else if (run.state == HostedRun.State.STOPPED) {
+      runController.stopAgain(instance, run, nowMs);
     }
   }
 
--- a/core/src/test/java/io/hingehoist/run/host/OverdueStopTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/OverdueStopTest.java
@@ -119,6 +119,17 @@
     assertTrue(newestDeadlineMs() > 0);
   }
 
+  @Test
+  public void aRunThatContinuesAfterAConfirmedStopIsStoppedAgain() {
+    loseOwner(1_400);
+    fixture.host.stopCallCompleted(WORKER, RUN_OF_LOST_OWNER, true, 1_405);
+    answerPoll(1_460);
+    answerPoll(1_510);
+    HostEffect.StopCall again = fixture.all(HostEffect.StopCall.class).getFirst();
+    assertEquals(again.run(), RUN_OF_LOST_OWNER);
+    assertEquals(fixture.host.runCount(), 2);
+  }
+
   @Test
   public void theLeaseIsNotRenewedForAnOwnerWhoseLeaseHasExpired() {
     heartbeat(OTHER_OWNER_SESSION, 1_600);
