--- a/daemon/src/main/java/io/hingehoist/net/HttpConnection.java
+++ b/daemon/src/main/java/io/hingehoist/net/HttpConnection.java
@@ -152,7 +152,8 @@
         new HttpExchange(
             first.request(),
             response -> onAnswered(context, response, first.keepAlive()),
-            () -> onAborted(context));
+            () -> onAborted(context),
+            loop);
     inFlight = Optional.of(exchange);
     server.handle(exchange);
   }
--- a/daemon/src/main/java/io/hingehoist/net/HttpExchange.java
+++ b/daemon/src/main/java/io/hingehoist/net/HttpExchange.java
@@ -7,13 +7,20 @@
   private final HttpRequest request;
   private final Consumer<HttpResponse> responses;
   private final Runnable resetConnection;
+  private final EventLoop loop;
   private Runnable onDisconnect = () -> {};
+  private Runnable cancelTimeout = () -> {};
   private boolean ended;
 
-  HttpExchange(HttpRequest request, Consumer<HttpResponse> responses, Runnable resetConnection) {
+  HttpExchange(
+      HttpRequest request,
+      Consumer<HttpResponse> responses,
+      Runnable resetConnection,
+      EventLoop loop) {
     this.request = request;
     this.responses = responses;
     this.resetConnection = resetConnection;
+    this.loop = loop;
   }
 
   /** Returns the request. */
@@ -24,7 +31,7 @@
   /** Sends the response, unless the exchange has ended or the caller has disconnected. */
   public void answer(HttpResponse response) {
     if (!ended) {
-      ended = true;
+      end();
       responses.accept(response);
     }
   }
@@ -32,7 +39,7 @@
   /** Resets the connection without a response, as the state of the request is not known. */
   public void abort() {
     if (!ended) {
-      ended = true;
+      end();
       resetConnection.run();
     }
   }
@@ -42,11 +49,32 @@
     onDisconnect = action;
   }
 
+  /**
+   * Sets the time after which the caller counts as disconnected unless the response was sent. The
+   * end of a connection is not received if the network loses it.
+   */
+  public void disconnectAfter(long timeoutMs) {
+    cancelTimeout.run();
+    if (!ended) {
+      cancelTimeout = loop.schedule(this::timeOut, timeoutMs);
+    }
+  }
+
+  private void timeOut() {
+    disconnected();
+    resetConnection.run();
+  }
+
   /** Ends the exchange after the caller has disconnected. */
   void disconnected() {
     if (!ended) {
-      ended = true;
+      end();
       onDisconnect.run();
     }
   }
+
+  private void end() {
+    ended = true;
+    cancelTimeout.run();
+  }
 }
