A job that is submitted again continues the run numbers of its tasks

Callers would see a task run twice at the same time, or a job that never ends. If a caller leaves and brings its job back to the same owner, the former and the present runs had the same numbers, so a late report on a former run was taken for one on the present run:

- A host answers the stop of a run that it has refused with a second report.
If the owner had ordered the same number there again by then, it took that report for the end of the run that the host had just started, and ordered the task elsewhere.
- The owner remembers stopped runs until they are reported.
A second stopped run with the same number replaced the first, whose worker stayed closed to suspects for good, and whose report was taken for that of a third submission's run.

Cause: a run is identified by its task and number, and an owner used the numbers again.

Tried and left: hosts that don't report such stops.

--- a/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
@@ -59,6 +59,7 @@
   private final Map<String, OwnedJob> jobs = new LinkedHashMap<>();
   private final Map<String, OwnedTask> activeTasks = new HashMap<>();
   private final StoppingRuns stoppingRuns = new StoppingRuns();
+  private final FormerRunNumbers formerRunNumbers = new FormerRunNumbers();
   private final OwnerOutbox outbox = new OwnerOutbox();
   private final CrashHistory crashes = new CrashHistory();
   private long lastJobNumber;
@@ -121,6 +122,9 @@
     }
     OwnedJob job = new OwnedJob(plan, nowMs, ++lastJobNumber);
     jobs.put(plan.jobId(), job);
+    for (OwnedTask task : job.tasks()) {
+      task.skipRunNumbers(formerRunNumbers.lastNumberOf(task.name()));
+    }
     placement.addArrived(job.unblockTasks(), nowMs);
     outbox.logDecision("jobTaken", plan.jobId(), "", plan.queue(), "priority=" + plan.priority());
     applyCrashHistory(job, nowMs);
@@ -341,7 +345,6 @@
   public void runEnded(String hostId, RunEnded report, long nowMs) {
     Optional<OwnedTask> stopping = stoppingRuns.remove(hostId, report.run());
     if (stopping.isPresent()) {
-      // A job that was submitted again numbers its runs from 1, like the one that has ended.
       recordEnd(stopping.get());
       return;
     }
@@ -417,6 +420,7 @@
     jobs.remove(job.plan().jobId());
     for (OwnedTask task : job.tasks()) {
       placement.remove(task);
+      formerRunNumbers.record(task);
       if (activeTasks.remove(task.name()) != null && task.isOrdered()) {
         stopRun(task);
         stoppingRuns.add(task);
--- a/core/src/main/java/io/hingehoist/run/owner/OwnedTask.java
+++ b/core/src/main/java/io/hingehoist/run/owner/OwnedTask.java
@@ -111,7 +111,7 @@
     stopSent = false;
   }
 
-  /** Skips run numbers that another owner used. */
+  /** Skips run numbers that another owner, or a former submission of the job, has used. */
   void skipRunNumbers(long count) {
     runNumber += count;
   }
--- a/core/src/test/java/io/hingehoist/run/owner/CrashingTasksTest.java
+++ b/core/src/test/java/io/hingehoist/run/owner/CrashingTasksTest.java
@@ -155,6 +155,30 @@
     }
   }
 
+  /** Guards against the same where a caller submits the job again before that end is reported. */
+  @Test
+  public void aSuspectWhoseJobHasEndedTwiceMakesRoomForOthers() {
+    for (int i = 1; i <= 7; i++) {
+      String job = "j" + i;
+      String task = job + ".0.0";
+      owner.workerCrashed(new WorkerCrashed("a" + i, 0, true, List.of(task)), 1_000 * i);
+      submitAndDrop(job, 1_000 * i);
+      String firstHost = hostByTask.remove(task);
+      RunEnded firstEnd = new RunEnded(runs.get(task), RunEnd.STOPPED, 1);
+      submitAndDrop(job, 1_000 * i + 1);
+      String secondHost = hostByTask.remove(task);
+      RunEnded secondEnd = new RunEnded(runs.get(task), RunEnd.STOPPED, 1);
+      owner.runEnded(firstHost, firstEnd, 1_000 * i + 2);
+      owner.runEnded(secondHost, secondEnd, 1_000 * i + 2);
+    }
+  }
+
+  private void submitAndDrop(String job, long nowMs) {
+    submit(job, 1, nowMs);
+    assertTrue(hostByTask.containsKey(job + ".0.0"), job);
+    owner.drop(job, "caller disconnected");
+  }
+
   @Test
   public void otherTasksOfACrashedWorkerAreNotFailed() {
     submit("a", 1, 0);
