A stopped run whose start was answered is over with the lease of its worker

Callers would see a job that waits for up to 15 s: if the worker of a run that its owner has stopped fell silent or crashed, the host reported the end of that run 15 s after its start call, not 866 ms after the last renewal of the lease. An owner that moves a run away from a stalled worker stops it first and waits for that report, and a host's room stays charged.

Cause: since runs without an answer to their start outlast the lease, each run that is being stopped counted as one of these.

A run now records whether a start call is waiting for its response. Only such a run, and one of whose start calls had none, may still start. After a restart of the worker a stop is repeated in any case. A run whose start call was pending at the first of two restarts is now stopped at the later instance as well.

--- a/core/src/main/java/io/hingehoist/run/host/HostedRun.java
+++ b/core/src/main/java/io/hingehoist/run/host/HostedRun.java
@@ -43,6 +43,9 @@
   /** The total number of start calls without a response; each may have been carried out. */
   int unansweredStarts;
 
+  /** Whether a start call is waiting for its response. */
+  boolean startPending;
+
   /** When the last start call was sent. */
   long lastStartCallAtMs;
 
@@ -99,6 +102,6 @@
 
   /** Returns whether a start call may still be carried out: some call has had no response. */
   boolean mayStillStart() {
-    return state == State.ORDERED || state == State.STOPPING || unansweredStarts > 0;
+    return startPending || unansweredStarts > 0;
   }
 }
--- a/core/src/main/java/io/hingehoist/run/host/RunController.java
+++ b/core/src/main/java/io/hingehoist/run/host/RunController.java
@@ -139,6 +139,7 @@
     run.lastCallAtMs = nowMs;
     long deadlineMs = instance.grantLease(bounds.latestEndMs(instance, nowMs), nowMs);
     run.lastStartCallAtMs = nowMs;
+    run.startPending = true;
     run.startCallsExpireAtMs = instance.runsOverAtMs();
     outbox.add(
         new HostEffect.StartCall(
@@ -161,6 +162,7 @@
 
   /** Handles the result of a start call. */
   void startCallCompleted(WorkerInstance instance, HostedRun run, StartResult result, long nowMs) {
+    run.startPending = false;
     switch (result) {
       case StartResult.Started started -> {
         recordResponse(instance, run, nowMs);
@@ -434,7 +436,7 @@
   }
 
   private void handOver(HostedRun run, WorkerInstance restarted, long nowMs) {
-    if (run.mayStillStart()) {
+    if (run.mayStillStart() || run.state == HostedRun.State.STOPPING) {
       run.state = HostedRun.State.STOPPING;
       callStop(restarted, run, nowMs);
     } else if (run.state != HostedRun.State.STOPPED) {
--- a/core/src/test/java/io/hingehoist/run/host/WorkerRestartTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/WorkerRestartTest.java
@@ -298,6 +298,38 @@
     assertEquals(sent(RunEnded.class).getFirst().end(), RunEnd.STOPPED);
   }
 
+  /** Guards against a run whose end is reported seconds after its lease has expired. */
+  @Test(dataProvider = "lostLists")
+  public void aStoppedRunWhoseStartWasAnsweredIsOverWithTheLeaseOfItsWorker(PollResult lost) {
+    start(STARTED_AT_MS, 1_005, run(0));
+    host.stopRun(SESSION, run(0), 1_010);
+    List<RunRef> lostRuns = new ArrayList<>();
+    for (long nowMs = 1_050; nowMs < 4_000; nowMs += 50) {
+      host.ownerHeartbeat(SESSION, nowMs, true, nowMs);
+      host.stopCallCompleted(instanceId(STARTED_AT_MS), run(0), false, nowMs);
+      host.pollCallCompleted(instanceId(STARTED_AT_MS), lost, nowMs);
+      host.onTick(nowMs);
+      collectEffects(nowMs);
+      sent(RunEnded.class).forEach(ended -> lostRuns.add(ended.run()));
+    }
+    assertEquals(lostRuns, List.of(run(0)));
+  }
+
+  /** The answer to its start call may still be missing when the stop is sent. */
+  @Test(dataProvider = "lostLists")
+  public void aStoppedRunWhoseStartIsPendingOutlastsTheLeaseOfItsWorker(PollResult lost) {
+    order(STARTED_AT_MS, 1_005, run(0));
+    host.stopRun(SESSION, run(0), 1_010);
+    for (long nowMs = 1_050; nowMs < 4_000; nowMs += 50) {
+      host.ownerHeartbeat(SESSION, nowMs, true, nowMs);
+      host.stopCallCompleted(instanceId(STARTED_AT_MS), run(0), false, nowMs);
+      host.pollCallCompleted(instanceId(STARTED_AT_MS), lost, nowMs);
+      host.onTick(nowMs);
+      collectEffects(nowMs);
+      assertEquals(sent(RunEnded.class), List.of());
+    }
+  }
+
   @DataProvider
   public Object[][] lostLists() {
     return new Object[][] {{new PollResult.Unanswered()}, {new PollResult.ConnectionRefused()}};
