A pause between the readings of both clocks hides no later sleep

Callers could see a task run twice after a suspension that its box did not notice: a thread that was paused after it had read the monotonic clock and before it read the time of day took the pause for a sleep, and the next sleep, if it was no longer than that pause, for the time of day being set back. An owner without runs also dropped its jobs for such a pause.

Cause: SleepDetector compared two readings that need not be of the same moment.

It now reads the monotonic clock once more, and both again if more than a millisecond has passed. A sleep between the readings is detected as before, as the monotonic clock stops meanwhile.

Cost: one more reading of a clock a message; not measured.

--- a/daemon/src/main/java/io/hingehoist/loop/SleepDetector.java
+++ b/daemon/src/main/java/io/hingehoist/loop/SleepDetector.java
@@ -1,6 +1,7 @@
 package io.hingehoist.loop;
 
 import io.hingehoist.run.SleepEstimator;
+import java.util.function.LongSupplier;
 
 /**
  * Detects that this box may have been asleep (a suspend of the system or its virtual machine): its
@@ -10,29 +11,46 @@
  * node.
  */
 public final class SleepDetector {
+  private static final long MAX_READING_MS = 1;
+
+  private final LongSupplier monotonicMs;
+  private final LongSupplier timeOfDayMs;
   private final SleepEstimator estimator;
 
-  private SleepDetector(SleepEstimator estimator) {
-    this.estimator = estimator;
+  private SleepDetector(LongSupplier monotonicMs, LongSupplier timeOfDayMs) {
+    this.monotonicMs = monotonicMs;
+    this.timeOfDayMs = timeOfDayMs;
+    Reading first = read();
+    this.estimator = SleepEstimator.at(first.monotonicMs(), first.timeOfDayMs());
   }
 
+  /** Times of both clocks at the same moment. */
+  private record Reading(long monotonicMs, long timeOfDayMs) {}
+
   /** Creates a detector that starts now. */
   public static SleepDetector create() {
-    return at(InboxLoop.nowMs(), System.currentTimeMillis());
+    return of(InboxLoop::nowMs, System::currentTimeMillis);
   }
 
-  /** Creates a detector that starts at the given times of both clocks. */
-  static SleepDetector at(long monotonicMs, long timeOfDayMs) {
-    return new SleepDetector(SleepEstimator.at(monotonicMs, timeOfDayMs));
+  /** Creates a detector that starts at the present times of the given clocks. */
+  static SleepDetector of(LongSupplier monotonicMs, LongSupplier timeOfDayMs) {
+    return new SleepDetector(monotonicMs, timeOfDayMs);
   }
 
   /** Returns how long this box may have slept and was not yet reported to have; 0 if it has not. */
   public long sleptMs() {
-    return sleptMs(InboxLoop.nowMs(), System.currentTimeMillis());
+    Reading reading = read();
+    return estimator.sleptMs(reading.monotonicMs(), reading.timeOfDayMs());
   }
 
-  /** Returns the same by times of both clocks. */
-  long sleptMs(long monotonicMs, long timeOfDayMs) {
-    return estimator.sleptMs(monotonicMs, timeOfDayMs);
+  /** Reads both clocks, again if this thread was paused in between. */
+  private Reading read() {
+    long beforeMs;
+    long timeMs;
+    do {
+      beforeMs = monotonicMs.getAsLong();
+      timeMs = timeOfDayMs.getAsLong();
+    } while (monotonicMs.getAsLong() - beforeMs > MAX_READING_MS);
+    return new Reading(beforeMs, timeMs);
   }
 }
