--- a/core/src/main/java/io/hingehoist/run/host/HostedRun.java
+++ b/core/src/main/java/io/hingehoist/run/host/HostedRun.java
@@ -46,6 +46,9 @@
   /** Whether the worker has restarted since, and its number was invalidated at the new instance. */
   boolean handedOver;
 
+  /** Whether a start call is waiting for its response. */
+  boolean startPending;
+
   /** When the last start call was sent. */
   long lastStartCallAtMs;
 
@@ -102,6 +105,6 @@
 
   /** Returns whether a start call may still be carried out: some call has had no response. */
   boolean mayStillStart() {
-    return state == State.ORDERED || state == State.STOPPING || unansweredStarts > 0;
+    return startPending || unansweredStarts > 0;
   }
 }
--- a/core/src/main/java/io/hingehoist/run/host/RunController.java
+++ b/core/src/main/java/io/hingehoist/run/host/RunController.java
@@ -140,6 +140,7 @@
     run.lastCallAtMs = nowMs;
     long deadlineMs = instance.grantLease(bounds.latestEndMs(instance, nowMs), nowMs);
     run.lastStartCallAtMs = nowMs;
+    run.startPending = true;
     run.startCallsExpireAtMs = instance.runsOverAtMs();
     outbox.add(
         new HostEffect.StartCall(
@@ -162,9 +163,11 @@
 
   /** Handles the result of a start call. */
   void startCallCompleted(WorkerInstance instance, HostedRun run, StartResult result, long nowMs) {
+    run.startPending = false;
     switch (result) {
       case StartResult.Started started -> {
         recordResponse(instance, run, nowMs);
+        checkClock(instance, run, started, nowMs);
         instance.updateClock(started.workerClockMs(), nowMs);
         if (run.state == HostedRun.State.ORDERED) {
           run.state = HostedRun.State.RUNNING;
@@ -194,6 +197,15 @@
     }
   }
 
+  private void checkClock(
+      WorkerInstance instance, HostedRun run, StartResult.Started started, long nowMs) {
+    if (instance.checkClock(started.workerClockMs(), run.lastStartCallAtMs, nowMs)) {
+      String outcome = "run=" + run.run.number();
+      outbox.logDecision("workerClockBehind", run.run.task(), instance.id(), outcome);
+      run.startCallsExpireAtMs = instance.runsOverAtMs();
+    }
+  }
+
   /**
    * Handles a refused start call. A refusal concerns only its own call: an earlier call without a
    * response may have been carried out or may still be. In that case the run is over only once its
@@ -449,7 +461,7 @@
   }
 
   private void handOver(HostedRun run, WorkerInstance restarted, long nowMs) {
-    if (run.mayStillStart()) {
+    if (run.mayStillStart() || run.state == HostedRun.State.STOPPING) {
       run.state = HostedRun.State.STOPPING;
       callStop(restarted, run, nowMs);
     } else if (run.state != HostedRun.State.STOPPED) {
@@ -512,14 +524,15 @@
    */
   private static boolean mayStartAtLaterInstance(
       WorkerInstance instance, HostedRun run, RunEnd end, EndEvidence evidence, long nowMs) {
-    boolean endedAtThisInstance =
+    boolean mayStart =
         switch (evidence) {
-          case LISTED, NOT_LISTED -> true;
+          // Some start call was carried out, so only another one can be late.
+          case LISTED -> run.unansweredStarts > 0;
+          case NOT_LISTED -> run.mayStillStart();
           case START_REFUSED, LEASE_EXPIRED, OTHER_INSTANCE, RESTARTED -> false;
         };
-    return endedAtThisInstance
+    return mayStart
         && end != RunEnd.DONE
-        && run.unansweredStarts > 0
         && !run.handedOver
         && instance.mayRestartUnderSameName()
         && nowMs < run.lastStartCallAtMs + MAX_CALL_DELAY_MS;
--- a/core/src/main/java/io/hingehoist/run/host/WorkerPoller.java
+++ b/core/src/main/java/io/hingehoist/run/host/WorkerPoller.java
@@ -186,6 +186,7 @@
 
   private boolean processList(WorkerInstance instance, PollResult.Listed listed, long nowMs) {
     instance.updateClock(listed.workerClockMs(), nowMs);
+    instance.confirmInstance();
     if (!instance.polled) {
       instance.polled = true;
       // The instance has seen the present token and refuses calls that carry an earlier one.
