Further sleeps do not delay the end of an unverified session

Callers could see a task run for longer at a host whose box falls asleep again and again: the host stops the runs of an owner that has not proven its session for 300 ms after a possible sleep. Each further sleep started these 300 ms anew and replaced the probe, so that no answer counted, until the owner's lease was over (650 ms of a clock that stands still for most of that time).

Cause: the time since which a session is unverified was set by each suspected sleep, not by the first one since the last proof.

Before: HostSleepTest.furtherSleepsDoNotDelayTheEndOfAnUnverifiedSession failed (expected [1] but found [0] closed sessions).

--- a/core/src/main/java/io/hingehoist/run/host/OwnerSession.java
+++ b/core/src/main/java/io/hingehoist/run/host/OwnerSession.java
@@ -67,9 +67,11 @@
 
   /** Marks the lease as unverified until the owner answers a probe. */
   void markUnverified(long sleptMs, long nowMs) {
-    unverified = true;
     lease.onSuspectedSleep(sleptMs);
-    unverifiedSinceMs = nowMs;
+    if (!unverified) {
+      unverified = true;
+      unverifiedSinceMs = nowMs;
+    }
   }
 
   boolean isUnverified() {
--- a/core/src/test/java/io/hingehoist/run/host/HostSleepTest.java
+++ b/core/src/test/java/io/hingehoist/run/host/HostSleepTest.java
@@ -96,6 +96,18 @@
     assertEquals(count(HostEffect.StopCall.class), 1);
   }
 
+  /** Guards against runs that continue for as long as the box falls asleep again and again. */
+  @Test
+  public void furtherSleepsDoNotDelayTheEndOfAnUnverifiedSession() {
+    for (long nowMs = 1_120; nowMs <= 1_320; nowMs += 100) {
+      host.mayHaveSlept(100, nowMs);
+    }
+    host.onTick(1_320);
+    fixture.collectEffects(1_320);
+    assertEquals(count(HostEffect.CloseSession.class), 1);
+    assertEquals(count(HostEffect.StopCall.class), 1);
+  }
+
   @Test
   public void anAnswerToAnEarlierProbeProvesNothing() {
     host.proofReceived(SESSION, probeNumber() - 1, 1_021, 1_021);
