--- a/daemon/src/main/java/io/hingehoist/loop/SleepDetector.java
+++ b/daemon/src/main/java/io/hingehoist/loop/SleepDetector.java
@@ -13,6 +13,9 @@
 public final class SleepDetector {
   private static final long MAX_READING_MS = 1;
 
+  /** Bounds the time spent on a box that is so slow that no reading is fast enough. */
+  private static final int MAX_READINGS = 8;
+
   private final LongSupplier monotonicMs;
   private final LongSupplier timeOfDayMs;
   private final SleepEstimator estimator;
@@ -45,12 +48,18 @@
 
   /** Reads both clocks, again if this thread was paused in between. */
   private Reading read() {
-    long beforeMs;
-    long timeMs;
-    do {
-      beforeMs = monotonicMs.getAsLong();
-      timeMs = timeOfDayMs.getAsLong();
-    } while (monotonicMs.getAsLong() - beforeMs > MAX_READING_MS);
-    return new Reading(beforeMs, timeMs);
+    Reading reading = readOnce();
+    for (int i = 1; i < MAX_READINGS && !isOfOneMoment(reading); i++) {
+      reading = readOnce();
+    }
+    return reading;
+  }
+
+  private Reading readOnce() {
+    return new Reading(monotonicMs.getAsLong(), timeOfDayMs.getAsLong());
+  }
+
+  private boolean isOfOneMoment(Reading reading) {
+    return monotonicMs.getAsLong() - reading.monotonicMs() <= MAX_READING_MS;
   }
 }
