--- a/review/standin/RepeatedAtEnd.java
+++ b/review/standin/RepeatedAtEnd.java
@@ -5,15 +5,16 @@
 import java.util.Map;
 
 /**
- * The same job arrives again, seconds after its 2xx, at the owner that has it. It arrives once more
- * just after its run has ended, while the owner is frozen for a fifth of a second.
+ * The same job arrives again, half a second after its 2xx, at the owner that answered it. It arrives
+ * once more just after its second run has ended, while the owner is frozen for a fifth of a second;
+ * and a last time, a second after everybody has an answer, at the other owner.
  */
 final class RepeatedAtEnd {
   private static final int ROUNDS = 3;
-  private static final int RUN_MS = 2_000;
-  private static final long FREEZE_AT_MS = 1_950;
-  private static final long REPEAT_AT_MS = 2_080;
-  private static final long THAW_AT_MS = 2_130;
+  private static final int RUN_MS = 3_000;
+  private static final long FREEZE_AT_MS = 2_950;
+  private static final long REPEAT_AT_MS = 3_080;
+  private static final long THAW_AT_MS = 3_130;
 
   private RepeatedAtEnd() {}
 
@@ -50,12 +51,15 @@
       fleet.supervise(owner, record);
     }
     List<Thread> clients = new ArrayList<>();
-    for (Fleet.Node owner : owners) {
-      clients.add(Thread.ofPlatform().start(() -> rounds(fleet, owner, record, trouble)));
+    for (int i = 0; i < 2; i++) {
+      Fleet.Node owner = owners.get(i);
+      Fleet.Node other = owners.get(1 - i);
+      clients.add(Thread.ofPlatform().start(() -> rounds(fleet, owner, other, record, trouble)));
     }
     for (Thread client : clients) {
       client.join();
     }
+    int twice = record.brokenCount();
     int machines = 0;
     for (Fleet.Node owner : owners) {
       record.add(
@@ -68,7 +72,8 @@
     if (machines >= 2) {
       record.broken("Fault: processes on " + machines + " machines ended by themselves three times");
     }
-    return machines >= 2 ? 1 : 0;
+    record.add(twice + " times TWICE");
+    return twice > 0 ? 1 : 0;
   }
 
   private static String job(int runMs) {
@@ -95,10 +100,11 @@
     return false;
   }
 
-  private static void rounds(Fleet fleet, Fleet.Node owner, Record record, boolean trouble) {
+  private static void rounds(
+      Fleet fleet, Fleet.Node owner, Fleet.Node other, Record record, boolean trouble) {
     try {
       for (int round = 1; round <= ROUNDS; round++) {
-        round(round, fleet, owner, record, trouble);
+        round(round, fleet, owner, other, record, trouble);
       }
     } catch (Exception e) {
       record.add("client of " + owner.name + ": " + e);
@@ -106,7 +112,8 @@
   }
 
   private static void round(
-      int round, Fleet fleet, Fleet.Node owner, Record record, boolean trouble) throws Exception {
+      int round, Fleet fleet, Fleet.Node owner, Fleet.Node other, Record record, boolean trouble)
+      throws Exception {
     if (!awaitService(owner, record)) {
       return;
     }
@@ -139,9 +146,15 @@
         owner.signal("CONT");
         fleet.disturbed(owner, record);
       }
-      read(b, "b", owner, record);
-      read(c, "c", owner, record);
-      long untilMs = record.ms() + 4_000;
+      boolean answered = read(b, "b", owner, record) & read(c, "c", owner, record);
+      Thread.sleep(1_000);
+      if (answered) {
+        try (Web d = new Web(other.ip, Fleet.FRONT, 9_000)) {
+          post(d, "d", path, other, record);
+          read(d, "d", other, record);
+        }
+      }
+      long untilMs = record.ms() + 1_500;
       while (record.ms() < untilMs && fleet.ownEnds(owner) == endsBefore) {
         Thread.sleep(20);
       }
@@ -157,11 +170,15 @@
     web.send("POST", path, Operator.HOST, "X-Hingehoist-Deadline-Ms: 9000\r\n", job(RUN_MS));
   }
 
-  private static void read(Web web, String name, Fleet.Node owner, Record record) {
+  /** Reads an answer; returns whether it is a 2xx. */
+  private static boolean read(Web web, String name, Fleet.Node owner, Record record) {
     try {
-      record.add("client of " + owner.name + " on " + name + ": " + web.read());
+      Web.Answer answer = web.read();
+      record.add("client of " + owner.name + " on " + name + ": " + answer);
+      return answer.status() == 200;
     } catch (IOException e) {
       record.add("client of " + owner.name + " on " + name + ": " + e.getMessage());
+      return false;
     }
   }
 
