A replica's log is bounded in bytes, and read one entry at a time

After 509 changes all control processes ended without any kill.

A start read each segment into one array, and copied each part of a block twice.

So a start fails from half of the heap on, as the file and the entries are in memory together, and a running process fails when the retained entries fill the heap.

Why it works: the entries in memory are at most three of the shares and one entry, whatever their size and number, at a start as well as later, and a start needs no copy of the files.

--- a/core/src/main/java/io/hingehoist/replication/Leadership.java
+++ b/core/src/main/java/io/hingehoist/replication/Leadership.java
@@ -42,6 +42,7 @@
   private final Replica replica;
   private final ReplicatedLog log;
   private final ReplicaTiming timing;
+  private final LogLimits limits;
   private final long termStartIndex;
   private final Map<String, Progress> voters = new LinkedHashMap<>();
   private final Map<String, Progress> learners = new LinkedHashMap<>();
@@ -49,10 +50,12 @@
   private long round;
   private boolean roundRequested;
 
-  Leadership(Replica replica, ReplicaTiming timing, long termStartIndex, long nowMs) {
+  Leadership(
+      Replica replica, ReplicaTiming timing, LogLimits limits, long termStartIndex, long nowMs) {
     this.replica = replica;
     this.log = replica.log();
     this.timing = timing;
+    this.limits = limits;
     this.termStartIndex = termStartIndex;
     refreshVoters(nowMs);
   }
@@ -187,7 +190,9 @@
         return;
       }
     }
-    boolean withinWindow = progress.nextIndex - progress.matchIndex <= MAX_UNACKED_ENTRIES;
+    boolean withinWindow =
+        progress.nextIndex - progress.matchIndex <= MAX_UNACKED_ENTRIES
+            && unackedBytes(progress) < limits.unackedBytes();
     boolean lacksEntries =
         progress.nextIndex > log.baseIndex() && progress.nextIndex <= log.lastIndex();
     boolean sendsEntries = lacksEntries && withinWindow;
@@ -217,6 +222,10 @@
     progress.sentAtMs = nowMs;
   }
 
+  private long unackedBytes(Progress progress) {
+    return log.bytesBetween(progress.matchIndex, progress.nextIndex - 1);
+  }
+
   private void sendSnapshot(Progress progress, long nowMs, Consumer<ReplicaEffect> effects) {
     if (!progress.isReceivingSnapshot()) {
       progress.snapshotOffset = 0;
--- a/core/src/main/java/io/hingehoist/replication/Replica.java
+++ b/core/src/main/java/io/hingehoist/replication/Replica.java
@@ -43,6 +43,7 @@
   private final String address;
   private final int voterCount;
   private final ReplicaTiming timing;
+  private final LogLimits limits;
   private final RandomGenerator random;
   private final ReplicatedLog log;
   private List<String> knownAddresses;
@@ -71,6 +72,7 @@
       List<String> knownAddresses,
       int voterCount,
       ReplicaTiming timing,
+      LogLimits limits,
       RandomGenerator random,
       DurableState durableState,
       long nowMs) {
@@ -80,6 +82,7 @@
     this.knownAddresses = List.copyOf(knownAddresses);
     this.voterCount = voterCount;
     this.timing = timing;
+    this.limits = limits;
     this.random = random;
     this.term = durableState.term();
     this.votedFor = durableState.votedFor();
@@ -106,6 +109,7 @@
       List<String> knownAddresses,
       int voterCount,
       ReplicaTiming timing,
+      LogLimits limits,
       RandomGenerator random,
       DurableState durableState,
       long nowMs) {
@@ -113,7 +117,16 @@
       throw new IllegalArgumentException("id must not be empty");
     }
     return new Replica(
-        id, address, clusterId, knownAddresses, voterCount, timing, random, durableState, nowMs);
+        id,
+        address,
+        clusterId,
+        knownAddresses,
+        voterCount,
+        timing,
+        limits,
+        random,
+        durableState,
+        nowMs);
   }
 
   /** Returns the first entry of a new cluster: a configuration with one voter. */
@@ -136,11 +149,15 @@
       case ReplicaEvent.Proposed proposed -> onProposed(proposed);
       case ReplicaEvent.ReadRequested read -> onReadRequested(read);
       case ReplicaEvent.Persisted persisted -> onPersisted(persisted.index());
-      case ReplicaEvent.SnapshotSaved saved -> log.compact(saved.snapshot(), RETAINED_ENTRIES);
+      case ReplicaEvent.SnapshotSaved saved -> compactLog(saved.snapshot());
     }
     return drainEffects();
   }
 
+  private void compactLog(LogSnapshot snapshot) {
+    log.compact(snapshot, RETAINED_ENTRIES, limits.retainedBytes());
+  }
+
   /** Returns the messages, commits and reads that have become due with a batch of events. */
   public List<ReplicaEffect> flush(long nowMs) {
     leadership.ifPresent(l -> l.flush(nowMs, effects::add));
@@ -233,7 +250,7 @@
   private void becomeLeader(long nowMs) {
     grantedVotes.clear();
     leaderSeen = true;
-    Leadership leading = new Leadership(this, timing, log.lastIndex() + 1, nowMs);
+    Leadership leading = new Leadership(this, timing, limits, log.lastIndex() + 1, nowMs);
     leadership = Optional.of(leading);
     changeRole(ReplicaRole.LEADER, address);
     appendAsLeader(EntryKind.NOOP, Bytes.empty(), 0);
@@ -605,6 +622,25 @@
     return commitIndex;
   }
 
+  /**
+   * Returns whether a command of some size may be proposed: the uncommitted entries, which stay in
+   * memory until a quorum has synced them, remain within their limit. A single entry may exceed it.
+   */
+  public boolean hasRoomFor(long commandBytes) {
+    long uncommittedBytes = log.bytesBetween(commitIndex, log.lastIndex());
+    return uncommittedBytes == 0 || uncommittedBytes + commandBytes <= limits.uncommittedBytes();
+  }
+
+  /** Returns the total size of the bodies after an index, up to and including another one. */
+  public long bytesBetween(long afterIndex, long throughIndex) {
+    return log.bytesBetween(afterIndex, throughIndex);
+  }
+
+  /** Returns the total size of the bodies in memory. */
+  public long logBytes() {
+    return log.bytesBetween(log.baseIndex(), log.lastIndex());
+  }
+
   /** Returns the index of the last entry. */
   public long lastIndex() {
     return log.lastIndex();
--- a/core/src/main/java/io/hingehoist/replication/ReplicatedLog.java
+++ b/core/src/main/java/io/hingehoist/replication/ReplicatedLog.java
@@ -21,9 +21,14 @@
   static final long UNKNOWN_TERM = -1;
 
   private final List<LogEntry> entries = new ArrayList<>();
+
+  /** For each entry, the total size of the bodies up to and including it, since the last reset. */
+  private final List<Long> endOffsets = new ArrayList<>();
+
   private final TreeMap<Long, ReplicaSet> voterSets = new TreeMap<>();
   private long baseIndex;
   private long baseTerm;
+  private long baseOffset;
   private LogSnapshot snapshot;
 
   ReplicatedLog(LogSnapshot snapshot, List<LogEntry> entries) {
@@ -36,7 +41,9 @@
     snapshot = newSnapshot;
     baseIndex = newSnapshot.lastIndex();
     baseTerm = newSnapshot.lastTerm();
+    baseOffset = 0;
     entries.clear();
+    endOffsets.clear();
     voterSets.clear();
     voterSets.put(baseIndex, newSnapshot.voters());
   }
@@ -86,6 +93,7 @@
         throw new IllegalStateException(
             "entry index " + entry.index() + " does not follow last index " + lastIndex());
       }
+      endOffsets.add(offsetAt(lastIndex()) + entry.body().size());
       entries.add(entry);
       if (entry.kind() == EntryKind.CONFIGURATION) {
         voterSets.put(entry.index(), decodeVoters(entry.body()));
@@ -95,26 +103,49 @@
 
   void truncateFrom(long index) {
     entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
+    endOffsets.subList((int) (index - baseIndex - 1), endOffsets.size()).clear();
     voterSets.tailMap(index, true).clear();
   }
 
   /**
-   * Drops the entries that a new snapshot covers, except for a number of entries at the end of the
-   * log.
+   * Drops the entries that a new snapshot covers, except for those at the end of the log that are
+   * within both limits.
    */
-  void compact(LogSnapshot newSnapshot, long retainedEntries) {
+  void compact(LogSnapshot newSnapshot, long retainedEntries, long retainedBytes) {
     snapshot = newSnapshot;
-    long newBaseIndex = Math.min(newSnapshot.lastIndex(), lastIndex() - retainedEntries);
+    long oldestRetained = Math.max(lastIndex() - retainedEntries, lastIndexBefore(retainedBytes));
+    long newBaseIndex = Math.min(newSnapshot.lastIndex(), oldestRetained);
     if (newBaseIndex <= baseIndex) {
       return;
     }
     long newBaseTerm = termAt(newBaseIndex);
+    long newBaseOffset = offsetAt(newBaseIndex);
     Map.Entry<Long, ReplicaSet> votersAtBase = voterSets.floorEntry(newBaseIndex);
     entries.subList(0, (int) (newBaseIndex - baseIndex)).clear();
+    endOffsets.subList(0, (int) (newBaseIndex - baseIndex)).clear();
     voterSets.headMap(newBaseIndex, false).clear();
     voterSets.putIfAbsent(newBaseIndex, votersAtBase.getValue());
     baseIndex = newBaseIndex;
     baseTerm = newBaseTerm;
+    baseOffset = newBaseOffset;
+  }
+
+  /** Returns the index of the last entry before those at the end that fit into a size. */
+  private long lastIndexBefore(long bytes) {
+    long index = baseIndex;
+    while (bytesBetween(index, lastIndex()) > bytes) {
+      index++;
+    }
+    return index;
+  }
+
+  /** Returns the total size of the bodies after an index, up to and including another one. */
+  long bytesBetween(long afterIndex, long throughIndex) {
+    return offsetAt(throughIndex) - offsetAt(afterIndex);
+  }
+
+  private long offsetAt(long index) {
+    return index <= baseIndex ? baseOffset : endOffsets.get((int) (index - baseIndex - 1));
   }
 
   ReplicaSet votersAt(long index) {
--- a/core/src/test/java/io/hingehoist/replication/ReplicaGroup.java
+++ b/core/src/test/java/io/hingehoist/replication/ReplicaGroup.java
@@ -60,6 +60,7 @@
               addresses,
               addresses.size(),
               TIMING,
+              limits,
               random,
               durable,
               nowMs);
@@ -163,6 +164,7 @@
   }
 
   final Random random;
+  final LogLimits limits;
   final List<String> addresses;
   final Map<String, Box> boxes = new TreeMap<>();
   final List<Envelope> network = new ArrayList<>();
@@ -173,6 +175,11 @@
   long nowMs = 1_000;
 
   ReplicaGroup(long seed, int size) {
+    this(seed, size, new LogLimits(1_000_000, 1_000_000, 1_000_000, 1_000_000));
+  }
+
+  ReplicaGroup(long seed, int size, LogLimits limits) {
+    this.limits = limits;
     random = new Random(seed);
     List<String> boxAddresses = new ArrayList<>();
     for (int i = 0; i < size; i++) {
--- a/core/src/test/java/io/hingehoist/replication/ReplicaTest.java
+++ b/core/src/test/java/io/hingehoist/replication/ReplicaTest.java
@@ -5,9 +5,11 @@
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.hingehoist.message.AppendRequest;
 import io.hingehoist.message.VoteResponse;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -143,6 +145,67 @@
     assertTrue(group.isCommitted("before") && group.isCommitted("after"));
   }
 
+  private static final LogLimits SMALL_LIMITS = new LogLimits(100, 100, 100, 100);
+
+  /** A replica ran out of memory, as it retained a number of entries of any size. */
+  @Test
+  public void largeEntriesAreRetainedUpToALimitInBytes() {
+    ReplicaGroup group = new ReplicaGroup(7, 3, SMALL_LIMITS);
+    group.formCluster();
+    ReplicaGroup.Box leader = group.leader();
+    for (int i = 0; i < 50; i++) {
+      group.propose(leader, "a command of thirty bytes " + (1_000 + i));
+      group.runFor(10);
+    }
+    assertTrue(leader.replica.logBytes() > SMALL_LIMITS.retainedBytes());
+    leader.takeSnapshot();
+    assertTrue(leader.replica.logBytes() <= SMALL_LIMITS.retainedBytes());
+  }
+
+  /** A leader ran out of memory, as it accepted proposals of any size that it could not commit. */
+  @Test
+  public void aLeaderHasNoRoomForProposalsBeyondItsUncommittedLimit() {
+    ReplicaGroup group = new ReplicaGroup(7, 3, SMALL_LIMITS);
+    group.formCluster();
+    ReplicaGroup.Box leader = group.leader();
+    assertTrue(leader.replica.hasRoomFor(1_000));
+    group.propose(leader, "a command of sixty bytes, not yet committed by any other one");
+    assertTrue(leader.replica.hasRoomFor(40));
+    assertFalse(leader.replica.hasRoomFor(41));
+    group.runFor(10);
+    assertTrue(leader.replica.hasRoomFor(41));
+  }
+
+  /** The queue to a replica that does not answer held entries of any size. */
+  @Test
+  public void aReplicaThatDoesNotAnswerIsSentEntriesUpToALimitInBytes() {
+    ReplicaGroup group = new ReplicaGroup(7, 3, SMALL_LIMITS);
+    group.formCluster();
+    ReplicaGroup.Box leader = group.leader();
+    String silent =
+        group.addresses.stream().filter(a -> !a.equals(leader.address)).findFirst().get();
+    group.cutLink(silent, leader.address);
+    long sentBytes = 0;
+    for (int i = 0; i < 40; i++) {
+      group.propose(leader, "a command of thirty bytes " + (1_000 + i));
+      sentBytes += bytesOnTheWayTo(group, silent);
+      group.runFor(1);
+    }
+    assertTrue(sentBytes > 0 && sentBytes <= SMALL_LIMITS.unackedBytes() + 30, "" + sentBytes);
+  }
+
+  private static long bytesOnTheWayTo(ReplicaGroup group, String address) {
+    return group.network.stream()
+        .filter(envelope -> envelope.to().equals(address))
+        .flatMap(
+            envelope ->
+                envelope.message() instanceof AppendRequest request
+                    ? request.entries().stream()
+                    : Stream.empty())
+        .mapToLong(entry -> entry.body().size())
+        .sum();
+  }
+
   @DataProvider
   public Object[][] seeds() {
     Object[][] seeds = new Object[60][];
@@ -158,7 +221,16 @@
    */
   @Test(dataProvider = "seeds")
   public void committedEntriesSurviveRandomFaults(long seed) {
-    ReplicaGroup group = new ReplicaGroup(seed, 3);
+    checkRandomFaults(new ReplicaGroup(seed, 3));
+  }
+
+  /** Checks the same with limits at which most transfers need several snapshots and requests. */
+  @Test(dataProvider = "seeds")
+  public void committedEntriesSurviveRandomFaultsWithSmallLimits(long seed) {
+    checkRandomFaults(new ReplicaGroup(seed, 3, SMALL_LIMITS));
+  }
+
+  private static void checkRandomFaults(ReplicaGroup group) {
     group.formCluster();
     int proposed = 0;
     int wiped = 0;
--- a/daemon/src/main/java/io/hingehoist/journal/Blocks.java
+++ b/daemon/src/main/java/io/hingehoist/journal/Blocks.java
@@ -2,14 +2,12 @@
 
 import io.hingehoist.message.Bytes;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.zip.CRC32C;
 
 /**
- * Static helpers that encode and decode checksummed blocks. A block consists of a length, a CRC-32C
- * of length and content, and the content.
+ * Static helpers that encode checksummed blocks; {@link BlockReader} reads them. A block consists
+ * of a length, a CRC-32C of length and content, and the content.
  *
  * <p>A block holds one group commit, and the next block is written only after it is synced.
  * Therefore an invalid block at the end of the file was never acknowledged, and an invalid block
@@ -28,47 +26,18 @@
       block.putInt(part.size()).put(part.asByteBuffer());
     }
     block.flip();
-    block.putInt(Integer.BYTES, checksum(block, 0, length));
+    block.putInt(Integer.BYTES, checksum(block, length));
     return block;
   }
 
-  /** Returns the parts of the block at an offset; empty if there is no complete, valid block. */
-  static Optional<List<Bytes>> read(ByteBuffer file, int offset) {
-    if (file.limit() - offset < HEADER_BYTES) {
-      return Optional.empty();
-    }
-    int length = file.getInt(offset);
-    if (length <= 0 || length > file.limit() - offset - HEADER_BYTES) {
-      return Optional.empty();
-    }
-    if (checksum(file, offset, length) != file.getInt(offset + Integer.BYTES)) {
-      return Optional.empty();
-    }
-    return Optional.of(split(file.slice(offset + HEADER_BYTES, length)));
-  }
-
-  static int sizeAt(ByteBuffer file, int offset) {
-    return HEADER_BYTES + file.getInt(offset);
-  }
-
-  private static List<Bytes> split(ByteBuffer content) {
-    List<Bytes> parts = new ArrayList<>();
-    while (content.hasRemaining()) {
-      byte[] part = new byte[content.getInt()];
-      content.get(part);
-      parts.add(Bytes.copyOf(part));
-    }
-    return parts;
-  }
-
   /**
    * Returns the checksum of a block. It covers the length too, so that a run of zeros is not read
    * as a valid empty block.
    */
-  private static int checksum(ByteBuffer file, int offset, int length) {
+  private static int checksum(ByteBuffer block, int length) {
     CRC32C crc = new CRC32C();
-    crc.update(file.slice(offset, Integer.BYTES));
-    crc.update(file.slice(offset + HEADER_BYTES, length));
+    crc.update(block.slice(0, Integer.BYTES));
+    crc.update(block.slice(HEADER_BYTES, length));
     return (int) crc.getValue();
   }
 }
--- a/daemon/src/main/java/io/hingehoist/journal/JournalReader.java
+++ b/daemon/src/main/java/io/hingehoist/journal/JournalReader.java
@@ -1,18 +1,15 @@
 package io.hingehoist.journal;
 
-import io.hingehoist.message.Bytes;
 import io.hingehoist.message.LogEntry;
 import io.hingehoist.replication.DurableState;
 import io.hingehoist.replication.LogSnapshot;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Reads the segments of a journal, truncates a torn tail, and detects damage. Not thread-safe; use
@@ -37,55 +34,62 @@
   }
 
   private void readSegment(Path segment, boolean last) throws IOException {
-    ByteBuffer file = ByteBuffer.wrap(Files.readAllBytes(segment));
-    if (Blocks.read(file, 0).isEmpty()) {
-      // The first block was synced before the segment was renamed into place, so it cannot be torn.
-      throw DamageException.at(segment, 0, "the first block is invalid");
-    }
-    int offset = 0;
-    while (offset < file.limit()) {
-      Optional<List<Bytes>> block = Blocks.read(file, offset);
-      if (block.isEmpty()) {
-        truncateTornTail(segment, file, offset, last);
-        return;
+    try (BlockReader blocks = BlockReader.open(segment)) {
+      if (!readBlock(segment, blocks)) {
+        // The first block was synced before the segment was renamed into place, so it cannot be
+        // torn.
+        throw DamageException.at(segment, 0, "the first block is invalid");
+      }
+      while (blocks.hasRemaining()) {
+        if (!readBlock(segment, blocks)) {
+          checkTornTail(segment, blocks, last);
+          truncate(segment, blocks.offset());
+          return;
+        }
       }
-      applyBlock(segment, offset, block.get());
-      offset += Blocks.sizeAt(file, offset);
     }
   }
 
+  private boolean readBlock(Path segment, BlockReader blocks) throws IOException {
+    long offset = blocks.offset();
+    return blocks.read(step -> applyStep(segment, offset, JournalStep.fromBytes(step)));
+  }
+
   /**
-   * Truncates a torn block at the end of the last segment. Any other invalid block was synced
-   * earlier, so it is damage.
+   * Checks that an invalid block is a torn one at the end of the last segment. Any other invalid
+   * block was synced earlier, so it is damage.
    */
-  private static void truncateTornTail(Path segment, ByteBuffer file, int offset, boolean last)
+  private static void checkTornTail(Path segment, BlockReader blocks, boolean last)
       throws IOException {
     if (!last) {
-      throw DamageException.at(segment, offset, "invalid block in a segment that is not the last");
+      throw DamageException.at(
+          segment, blocks.offset(), "invalid block in a segment that is not the last");
     }
-    for (int later = offset + 1; later < file.limit(); later++) {
-      if (Blocks.read(file, later).isPresent()) {
-        throw DamageException.at(
-            segment, offset, "invalid block before a valid one at offset " + later);
-      }
+    OptionalLong later = blocks.findLaterBlock();
+    if (later.isPresent()) {
+      throw DamageException.at(
+          segment,
+          blocks.offset(),
+          "invalid block before a valid one at offset " + later.getAsLong());
     }
+  }
+
+  private static void truncate(Path segment, long offset) throws IOException {
     try (FileChannel channel = FileChannel.open(segment, StandardOpenOption.WRITE)) {
       channel.truncate(offset);
       channel.force(true);
     }
   }
 
-  private void applyBlock(Path segment, int offset, List<Bytes> steps) throws IOException {
-    for (Bytes bytes : steps) {
-      switch (JournalStep.fromBytes(bytes)) {
-        case ResetStep step -> entries.clear();
-        case VoteStep step -> {
-          term = step.term();
-          votedFor = step.votedFor();
-        }
-        case TruncateStep step -> truncateFrom(step.fromIndex());
-        case EntryStep step -> add(segment, offset, step.entry());
+  private void applyStep(Path segment, long offset, JournalStep journalStep) throws IOException {
+    switch (journalStep) {
+      case ResetStep step -> entries.clear();
+      case VoteStep step -> {
+        term = step.term();
+        votedFor = step.votedFor();
       }
+      case TruncateStep step -> truncateFrom(step.fromIndex());
+      case EntryStep step -> add(segment, offset, step.entry());
     }
   }
 
@@ -93,7 +97,7 @@
     entries.removeIf(entry -> entry.index() >= index);
   }
 
-  private void add(Path segment, int offset, LogEntry entry) throws IOException {
+  private void add(Path segment, long offset, LogEntry entry) throws IOException {
     if (entry.index() <= snapshot.lastIndex()) {
       return;
     }
--- a/daemon/src/main/java/io/hingehoist/journal/Snapshots.java
+++ b/daemon/src/main/java/io/hingehoist/journal/Snapshots.java
@@ -7,8 +7,8 @@
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
 
@@ -38,18 +38,17 @@
       return LogSnapshot.empty();
     }
     Path file = files.getLast();
-    Optional<List<Bytes>> parts = Blocks.read(ByteBuffer.wrap(Files.readAllBytes(file)), 0);
-    if (parts.isEmpty() || parts.get().size() != 2) {
-      throw DamageException.at(file, 0, "the checksum of the snapshot is wrong");
+    List<Bytes> parts = new ArrayList<>();
+    try (BlockReader blocks = BlockReader.open(file)) {
+      if (!blocks.read(parts::add) || parts.size() != 2) {
+        throw DamageException.at(file, 0, "the checksum of the snapshot is wrong");
+      }
     }
-    Bytes header = parts.get().get(0);
+    Bytes header = parts.get(0);
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(header.toArray())) {
       unpacker.unpackInt();
       return new LogSnapshot(
-          unpacker.unpackLong(),
-          unpacker.unpackLong(),
-          ReplicaSet.decode(unpacker),
-          parts.get().get(1));
+          unpacker.unpackLong(), unpacker.unpackLong(), ReplicaSet.decode(unpacker), parts.get(1));
     }
   }
 
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -40,6 +40,7 @@
 import io.hingehoist.message.VoteRequest;
 import io.hingehoist.message.VoteResponse;
 import io.hingehoist.metrics.Metrics;
+import io.hingehoist.replication.LogLimits;
 import io.hingehoist.replication.LogSnapshot;
 import io.hingehoist.replication.Replica;
 import io.hingehoist.replication.ReplicaEffect;
@@ -87,10 +88,12 @@
   /** The timeout for the last group commit, including the sync of a slow disk. */
   private static final long CLOSE_TIMEOUT_MS = 5_000;
 
+  /** Bounds the file of a segment whose entries are truncated again and again. */
   private static final long MAX_SEGMENT_BYTES = 64L * 1024 * 1024;
 
   private final ControlSection settings;
   private final Journal journal;
+  private final LogLimits limits;
   private final Metrics metrics;
   private final Replica replica;
   private final Liveness liveness;
@@ -109,6 +112,7 @@
   private long appliedIndex;
   private long snapshotIndex;
   private boolean documentsChanged;
+  private boolean refusesProposals;
   private long publishedZonesVersion = -1;
   private long tickedAtMs;
   private long clockAdvancedAtMs;
@@ -119,6 +123,7 @@
       NodeSection node,
       ControlSection settings,
       Journal journal,
+      LogLimits limits,
       Metrics metrics,
       ThreadFactory threads,
       Optional<RouteFeed> routeFeed,
@@ -127,6 +132,7 @@
     this.routeFeed = routeFeed;
     this.settings = settings;
     this.journal = journal;
+    this.limits = limits;
     // After a failed sync, the state of the disk is unknown, so acknowledged data could be lost.
     this.loop = InboxLoop.create("control", TICK_MS, MAX_BATCH, new LoopNode(), onFatalError);
     this.metrics = metrics;
@@ -146,6 +152,7 @@
             controlAddresses,
             voterCount,
             ReplicaTiming.of(settings.electionTimeoutMs(), settings.heartbeatMs()),
+            limits,
             new Random(),
             journal.recovered(),
             nowMs());
@@ -193,7 +200,15 @@
       throws IOException {
     Journal journal = Journal.open(Path.of(node.dataFolder()), disk, metrics);
     ControlNode control =
-        new ControlNode(node, settings, journal, metrics, threads, routeFeed, onFatalError);
+        new ControlNode(
+            node,
+            settings,
+            journal,
+            LogLimits.ofHeap(Runtime.getRuntime().maxMemory()),
+            metrics,
+            threads,
+            routeFeed,
+            onFatalError);
     control.loop.start();
     if (!settings.platformList().isEmpty()) {
       control.platformThread.start();
@@ -296,20 +311,14 @@
     }
   }
 
-  /**
-   * Returns whether a request may be proposed; responds to it if not. Before the first document is
-   * accepted, documents and zone changes are refused until all voters have joined, as an accepted
-   * one must survive the loss of as many replicas as the deployment tolerates.
-   */
+  /** Returns whether a request may be proposed; responds to it if not. */
   private boolean mayPropose(MessageSink client, ProposeRequest request) {
     Optional<Command> command = ClientRequests.commandOf(client, request);
-    boolean votersMissing =
-        command.isPresent()
-            && (command.get() instanceof PublishDocument || command.get() instanceof ChangeZone)
-            && state.documents().isEmpty()
-            && replica.isLeader()
-            && replica.voters().size() < voterCount;
-    if (votersMissing) {
+    if (command.isEmpty()) {
+      return false;
+    }
+    boolean refused = lacksVoters(command.get()) || lacksRoom(request.command());
+    if (refused) {
       client.send(
           new ProposeResponse(
               request.requestId(),
@@ -317,7 +326,37 @@
               replica.leaderAddress(),
               Bytes.empty()));
     }
-    return command.isPresent() && !votersMissing;
+    return !refused;
+  }
+
+  /**
+   * Returns whether a command must wait until all voters have joined: before the first document is
+   * accepted, documents and zone changes are refused, as an accepted one must survive the loss of
+   * as many replicas as the deployment tolerates.
+   */
+  private boolean lacksVoters(Command command) {
+    return (command instanceof PublishDocument || command instanceof ChangeZone)
+        && state.documents().isEmpty()
+        && replica.isLeader()
+        && replica.voters().size() < voterCount;
+  }
+
+  /** Returns whether too much is uncommitted, as while a quorum's disks are slow. */
+  private boolean lacksRoom(Bytes command) {
+    boolean lacksRoom = replica.isLeader() && !replica.hasRoomFor(command.size());
+    if (lacksRoom) {
+      metrics.countRefusal("uncommittedBytes");
+    }
+    if (lacksRoom != refusesProposals) {
+      refusesProposals = lacksRoom;
+      LOG.infof(
+          "event=%s index=%d committed=%d logBytes=%d",
+          lacksRoom ? "proposalsRefused" : "proposalsAccepted",
+          replica.lastIndex(),
+          replica.commitIndex(),
+          replica.logBytes());
+    }
+    return lacksRoom;
   }
 
   private void propose(long token, Bytes command, long nowMs) throws IOException {
@@ -561,10 +600,7 @@
   }
 
   private void saveSnapshotIfDue() throws IOException {
-    boolean due =
-        appliedIndex - snapshotIndex >= settings.snapshotEntries()
-            || (journal.segmentBytes() > MAX_SEGMENT_BYTES && appliedIndex > snapshotIndex);
-    if (!due) {
+    if (!isSnapshotDue()) {
       return;
     }
     LogSnapshot snapshot =
@@ -579,6 +615,12 @@
     step(new ReplicaEvent.SnapshotSaved(snapshot), nowMs());
   }
 
+  private boolean isSnapshotDue() {
+    return appliedIndex - snapshotIndex >= settings.snapshotEntries()
+        || replica.bytesBetween(snapshotIndex, appliedIndex) >= limits.snapshotBytes()
+        || (journal.segmentBytes() > MAX_SEGMENT_BYTES && appliedIndex > snapshotIndex);
+  }
+
   // Threads of connections.
 
   private static boolean isFromReplica(Message message) {
--- a/daemon/src/test/java/io/hingehoist/journal/JournalTest.java
+++ b/daemon/src/test/java/io/hingehoist/journal/JournalTest.java
@@ -106,7 +106,7 @@
   public void damageBeforeTheTailFailsOpenWithFileAndOffset() throws IOException {
     writeEntries(3);
     ByteBuffer content = ByteBuffer.wrap(Files.readAllBytes(segment()));
-    int secondBlock = Blocks.sizeAt(content, 0);
+    int secondBlock = Blocks.HEADER_BYTES + content.getInt(0);
     content.put(secondBlock + 12, (byte) ~content.get(secondBlock + 12));
     Files.write(segment(), content.array());
     String message = expectThrows(DamageException.class, this::readState).getMessage();
