--- a/core/src/main/java/io/hingehoist/replication/Replica.java
+++ b/core/src/main/java/io/hingehoist/replication/Replica.java
@@ -508,9 +508,14 @@
     incomingSnapshotIndex = 0;
     LogSnapshot snapshot =
         new LogSnapshot(chunk.lastIndex(), chunk.lastTerm(), chunk.voters(), state);
-    log.reset(snapshot);
+    if (log.termAt(snapshot.lastIndex()) == snapshot.lastTerm()) {
+      // The later entries may have been acknowledged, so they must not be lost.
+      compactLog(snapshot);
+    } else {
+      log.reset(snapshot);
+      durableIndex = snapshot.lastIndex();
+    }
     commitIndex = snapshot.lastIndex();
-    durableIndex = snapshot.lastIndex();
     effects.add(new ReplicaEffect.Install(snapshot));
     sendAppendResponse(chunk.leaderAddress(), true, commitIndex, 0);
   }
--- a/core/src/main/java/io/hingehoist/replication/ReplicaEffect.java
+++ b/core/src/main/java/io/hingehoist/replication/ReplicaEffect.java
@@ -25,7 +25,10 @@
   /** Removes the journal's entries from an index onwards. */
   record Truncate(long fromIndex) implements ReplicaEffect {}
 
-  /** Replaces the journal and the applied state with a snapshot. */
+  /**
+   * Replaces the applied state with a snapshot, and the journal with the snapshot and the entries
+   * that the replica holds after it.
+   */
   record Install(LogSnapshot snapshot) implements ReplicaEffect {}
 
   /** Persists the id of the cluster that a blank replica has joined. */
--- a/core/src/test/java/io/hingehoist/replication/ReplicaGroup.java
+++ b/core/src/test/java/io/hingehoist/replication/ReplicaGroup.java
@@ -107,6 +107,7 @@
           sync();
           snapshot = install.snapshot();
           entries.clear();
+          replica.entriesAfter(snapshot.lastIndex()).forEach(e -> entries.put(e.index(), e));
           appliedIndex = snapshot.lastIndex();
         }
         case ReplicaEffect.JoinCluster join -> clusterId = join.clusterId();
--- a/core/src/test/java/io/hingehoist/replication/ReplicaTest.java
+++ b/core/src/test/java/io/hingehoist/replication/ReplicaTest.java
@@ -6,8 +6,16 @@
 import static org.testng.Assert.assertTrue;
 
 import io.hingehoist.message.AppendRequest;
+import io.hingehoist.message.Bytes;
+import io.hingehoist.message.EntryKind;
+import io.hingehoist.message.LogEntry;
+import io.hingehoist.message.ReplicaInfo;
+import io.hingehoist.message.ReplicaSet;
+import io.hingehoist.message.SnapshotChunk;
 import io.hingehoist.message.VoteResponse;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.testng.annotations.DataProvider;
@@ -145,6 +153,47 @@
     assertTrue(group.isCommitted("before") && group.isCommitted("after"));
   }
 
+  /** Entries that a replica had acknowledged were lost when it installed a snapshot before them. */
+  @Test
+  public void anInstalledSnapshotKeepsTheSyncedEntriesAfterIt() {
+    Replica replica = replicaWithEntries(10);
+    replica.step(new ReplicaEvent.Received(snapshotChunk(5, 1)), 0);
+    assertEquals(replica.commitIndex(), 5);
+    assertEquals(replica.lastIndex(), 10);
+    assertEquals(replica.entriesAfter(5).size(), 5);
+  }
+
+  @Test
+  public void anInstalledSnapshotDiscardsEntriesOfAnotherHistory() {
+    Replica replica = replicaWithEntries(10);
+    replica.step(new ReplicaEvent.Received(snapshotChunk(5, 2)), 0);
+    assertEquals(replica.lastIndex(), 5);
+  }
+
+  private static Replica replicaWithEntries(int count) {
+    List<LogEntry> entries = new ArrayList<>();
+    for (int index = 1; index <= count; index++) {
+      entries.add(new LogEntry(1, index, EntryKind.COMMAND, 0, Bytes.empty()));
+    }
+    return Replica.create(
+        "id",
+        "box-0",
+        "cluster",
+        List.of("box-0", "box-1", "box-2"),
+        3,
+        ReplicaGroup.TIMING,
+        SMALL_LIMITS,
+        new Random(1),
+        new DurableState(1, "", LogSnapshot.empty(), entries),
+        0);
+  }
+
+  private static SnapshotChunk snapshotChunk(long lastIndex, long lastTerm) {
+    ReplicaSet voters = new ReplicaSet(List.of(new ReplicaInfo("id", "box-0")));
+    return new SnapshotChunk(
+        3, "leader", "box-1", "id", "cluster", lastIndex, lastTerm, voters, 0, Bytes.empty(), true);
+  }
+
   private static final LogLimits SMALL_LIMITS = new LogLimits(100, 100, 100, 100);
 
   /** A replica ran out of memory, as it retained a number of entries of any size. */
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -583,7 +583,8 @@
   }
 
   private void install(LogSnapshot snapshot) throws IOException {
-    journal.saveSnapshot(snapshot, replica.term(), replica.votedFor(), List.of());
+    journal.saveSnapshot(
+        snapshot, replica.term(), replica.votedFor(), replica.entriesAfter(snapshot.lastIndex()));
     state = ControlState.fromBytes(snapshot.state());
     appliedIndex = snapshot.lastIndex();
     snapshotIndex = snapshot.lastIndex();
