--- a/core/src/main/java/io/hingehoist/replication/Leadership.java
+++ b/core/src/main/java/io/hingehoist/replication/Leadership.java
@@ -142,11 +142,11 @@
 
   void onSnapshotAck(SnapshotAck ack, long nowMs) {
     Progress progress = progressOf(ack.replicaId());
-    if (progress == null || !progress.isReceivingSnapshot()) {
+    if (progress == null || progress.sentSnapshot().isEmpty()) {
       return;
     }
     progress.lastAckAtMs = nowMs;
-    if (ack.lastIndex() == log.snapshot().lastIndex()) {
+    if (ack.lastIndex() == progress.sentSnapshot().get().lastIndex()) {
       progress.snapshotOffset = ack.nextOffset();
       progress.snapshotSentAtMs = 0;
     }
@@ -227,15 +227,14 @@
   }
 
   private void sendSnapshot(Progress progress, long nowMs, Consumer<ReplicaEffect> effects) {
-    if (!progress.isReceivingSnapshot()) {
-      progress.snapshotOffset = 0;
-      progress.snapshotSentAtMs = 0;
+    if (progress.sentSnapshot().isEmpty()) {
+      progress.startSnapshot(log.snapshot());
     }
     if (nowMs - progress.snapshotSentAtMs < timing.electionTimeoutMs()
         && progress.snapshotSentAtMs > 0) {
       return;
     }
-    LogSnapshot snapshot = log.snapshot();
+    LogSnapshot snapshot = progress.sentSnapshot().get();
     int size = snapshot.state().size();
     int from = (int) Math.min(progress.snapshotOffset, size);
     int to = Math.min(size, from + SNAPSHOT_CHUNK_BYTES);
--- a/core/src/main/java/io/hingehoist/replication/Progress.java
+++ b/core/src/main/java/io/hingehoist/replication/Progress.java
@@ -1,5 +1,7 @@
 package io.hingehoist.replication;
 
+import java.util.Optional;
+
 /**
  * The leader's replication progress for one other replica. Not thread-safe: confined to the control
  * thread.
@@ -12,9 +14,12 @@
   long ackedRound;
   long lastAckAtMs;
   long sentAtMs;
-  long snapshotOffset = -1;
+  long snapshotOffset;
   long snapshotSentAtMs;
 
+  /** The snapshot that is being sent; a newer one is sent only after it, if still needed. */
+  private Optional<LogSnapshot> sentSnapshot = Optional.empty();
+
   Progress(String replicaId, String address, long nextIndex, long nowMs) {
     this.replicaId = replicaId;
     this.address = address;
@@ -22,14 +27,21 @@
     this.lastAckAtMs = nowMs;
   }
 
-  boolean isReceivingSnapshot() {
-    return snapshotOffset >= 0;
+  /** Returns the snapshot that is being sent, if any. */
+  Optional<LogSnapshot> sentSnapshot() {
+    return sentSnapshot;
+  }
+
+  void startSnapshot(LogSnapshot snapshot) {
+    sentSnapshot = Optional.of(snapshot);
+    snapshotOffset = 0;
+    snapshotSentAtMs = 0;
   }
 
   void onAppendAccepted(long index) {
     matchIndex = Math.max(matchIndex, index);
     nextIndex = Math.max(nextIndex, matchIndex + 1);
-    snapshotOffset = -1;
+    sentSnapshot = Optional.empty();
   }
 
   /**
--- a/core/src/test/java/io/hingehoist/replication/ReplicaGroup.java
+++ b/core/src/test/java/io/hingehoist/replication/ReplicaGroup.java
@@ -158,7 +158,8 @@
       }
       sync();
       ReplicaSet voters = replica.votersAt(appliedIndex);
-      snapshot = new LogSnapshot(appliedIndex, replica.termAt(appliedIndex), voters, Bytes.empty());
+      Bytes state = Bytes.copyOf(new byte[stateBytes]);
+      snapshot = new LogSnapshot(appliedIndex, replica.termAt(appliedIndex), voters, state);
       entries.headMap(appliedIndex, true).clear();
       step(new ReplicaEvent.SnapshotSaved(snapshot));
     }
@@ -175,6 +176,9 @@
   final Set<Long> readyReads = new TreeSet<>();
   long nowMs = 1_000;
 
+  /** The size of the state in a snapshot. */
+  int stateBytes;
+
   ReplicaGroup(long seed, int size) {
     this(seed, size, new LogLimits(1_000_000, 1_000_000, 1_000_000, 1_000_000));
   }
--- a/core/src/test/java/io/hingehoist/replication/ReplicaTest.java
+++ b/core/src/test/java/io/hingehoist/replication/ReplicaTest.java
@@ -153,6 +153,33 @@
     assertTrue(group.isCommitted("before") && group.isCommitted("after"));
   }
 
+  /**
+   * A new replica never caught up while the leader took snapshots faster than it could send one.
+   */
+  @Test
+  public void aTransferContinuesWithItsSnapshotWhenTheLeaderTakesAnother() {
+    LogLimits limits = new LogLimits(1, 1, 1_000_000, 1_000_000);
+    ReplicaGroup group = new ReplicaGroup(7, 3, limits);
+    group.stateBytes = 3_000_000;
+    group.formCluster();
+    ReplicaGroup.Box leader = group.leader();
+    ReplicaGroup.Box behind =
+        group.boxes.values().stream().filter(b -> b != leader).findFirst().get();
+    behind.crash();
+    for (int i = 0; i < 20; i++) {
+      group.propose(leader, "before-" + i);
+      group.runFor(10);
+    }
+    leader.takeSnapshot();
+    behind.start();
+    for (int i = 0; i < 100 && behind.appliedIndex < 20; i++) {
+      group.propose(leader, "meanwhile-" + i);
+      group.runFor(5);
+      leader.takeSnapshot();
+    }
+    assertTrue(behind.appliedIndex >= 20, "applied " + behind.appliedIndex);
+  }
+
   /** Entries that a replica had acknowledged were lost when it installed a snapshot before them. */
   @Test
   public void anInstalledSnapshotKeepsTheSyncedEntriesAfterIt() {
