The state read at a start does not stay in memory

Found by reading for buffers without a bound.

A second call throws, which JournalTest.theRecoveredStateIsHandedOverOnce holds.

--- a/daemon/src/main/java/io/hingehoist/journal/Journal.java
+++ b/daemon/src/main/java/io/hingehoist/journal/Journal.java
@@ -28,7 +28,7 @@
   private final Metrics metrics;
   private final List<Bytes> unsynced = new ArrayList<>();
   private Identity identity;
-  private DurableState recovered;
+  private Optional<DurableState> recovered = Optional.empty();
   private long segmentNumber;
   private long segmentBytes;
   private SyncedFile segment;
@@ -88,7 +88,7 @@
    * complete.
    */
   private void initialize(DurableState state, Identity newIdentity) throws IOException {
-    recovered = state;
+    recovered = Optional.of(state);
     startSegment(0, state.term(), state.votedFor(), state.entries());
     identity = newIdentity;
     identity.write(folder, disk);
@@ -96,7 +96,7 @@
 
   private void recover(Identity storedIdentity, List<Path> segments) throws IOException {
     identity = storedIdentity;
-    recovered = JournalReader.read(segments, Snapshots.readLatest(folder));
+    recovered = Optional.of(JournalReader.read(segments, Snapshots.readLatest(folder)));
     Path last = segments.getLast();
     segmentNumber = numberOf(last);
     segmentBytes = Files.size(last);
@@ -108,9 +108,17 @@
     return identity;
   }
 
-  /** Returns the state that the disk held when the journal was opened. */
-  public DurableState recovered() {
-    return recovered;
+  /**
+   * Returns the state that the disk held when the journal was opened, and drops the reference to
+   * it, so that its entries do not stay in memory.
+   *
+   * @throws IllegalStateException if the state was taken before
+   */
+  public DurableState takeRecovered() {
+    DurableState state =
+        recovered.orElseThrow(() -> new IllegalStateException("the state was taken before"));
+    recovered = Optional.empty();
+    return state;
   }
 
   /** Binds this disk durably to a cluster. */
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -40,6 +40,7 @@
 import io.hingehoist.message.VoteRequest;
 import io.hingehoist.message.VoteResponse;
 import io.hingehoist.metrics.Metrics;
+import io.hingehoist.replication.DurableState;
 import io.hingehoist.replication.LogLimits;
 import io.hingehoist.replication.LogSnapshot;
 import io.hingehoist.replication.Replica;
@@ -123,6 +124,7 @@
       NodeSection node,
       ControlSection settings,
       Journal journal,
+      DurableState recovered,
       LogLimits limits,
       Metrics metrics,
       ThreadFactory threads,
@@ -139,7 +141,7 @@
     List<String> controlAddresses = ControlAddresses.of(node);
     this.voterCount =
         settings.lossesBorne() == 0 ? controlAddresses.size() : 2 * settings.lossesBorne() + 1;
-    LogSnapshot snapshot = journal.recovered().snapshot();
+    LogSnapshot snapshot = recovered.snapshot();
     this.state = ControlState.fromBytes(snapshot.state());
     this.appliedIndex = snapshot.lastIndex();
     this.snapshotIndex = snapshot.lastIndex();
@@ -154,7 +156,7 @@
             ReplicaTiming.of(settings.electionTimeoutMs(), settings.heartbeatMs()),
             limits,
             new Random(),
-            journal.recovered(),
+            recovered,
             nowMs());
     this.liveness = Liveness.create(settings.memberTimeoutMs());
     this.requests = new ClientRequests(() -> state, replica, settings.leaseMs());
@@ -199,11 +201,13 @@
       Consumer<Throwable> onFatalError)
       throws IOException {
     Journal journal = Journal.open(Path.of(node.dataFolder()), disk, metrics);
+    DurableState recovered = journal.takeRecovered();
     ControlNode control =
         new ControlNode(
             node,
             settings,
             journal,
+            recovered,
             LogLimits.ofHeap(Runtime.getRuntime().maxMemory()),
             metrics,
             threads,
--- a/daemon/src/test/java/io/hingehoist/journal/JournalTest.java
+++ b/daemon/src/test/java/io/hingehoist/journal/JournalTest.java
@@ -51,7 +51,7 @@
 
   private DurableState readState() throws IOException {
     try (Journal journal = open()) {
-      return journal.recovered();
+      return journal.takeRecovered();
     }
   }
 
@@ -73,6 +73,16 @@
     assertEquals(state.entries(), List.of(entry(1), entry(2)));
   }
 
+  /** The entries read at a start stayed in memory as long as the process ran. */
+  @Test
+  public void theRecoveredStateIsHandedOverOnce() throws IOException {
+    writeEntries(3);
+    try (Journal journal = open()) {
+      assertEquals(journal.takeRecovered().entries().size(), 3);
+      assertThrows(IllegalStateException.class, journal::takeRecovered);
+    }
+  }
+
   @Test
   public void identityIsKeptInItsFolderAndNewInAnother() throws IOException {
     Identity first = open().identity();
