--- a/daemon/src/main/java/io/hingehoist/metrics/Metrics.java
+++ b/daemon/src/main/java/io/hingehoist/metrics/Metrics.java
@@ -100,6 +100,23 @@
           .name("hingehoist_term")
           .help("Current term of the replicated log.")
           .register(registry);
+  private final Gauge logBytes =
+      Gauge.builder()
+          .name("hingehoist_log_bytes")
+          .help("Size of the log entries in memory.")
+          .register(registry);
+  private final Gauge segmentBytes =
+      Gauge.builder()
+          .name("hingehoist_journal_segment_bytes")
+          .help("Size of the last segment of the journal.")
+          .register(registry);
+  private final Counter snapshots =
+      Counter.builder()
+          .name("hingehoist_snapshots_total")
+          .withoutExemplars()
+          .help("Snapshots saved, by origin: taken or installed.")
+          .labelNames("origin")
+          .register(registry);
   private final Counter tasks =
       Counter.builder()
           .name("hingehoist_tasks_total")
@@ -183,6 +200,17 @@
     syncSeconds.observe(seconds);
   }
 
+  /** Records the size of the log in memory and of the last segment on disk. */
+  public void recordLogSize(long newLogBytes, long newSegmentBytes) {
+    logBytes.set(newLogBytes);
+    segmentBytes.set(newSegmentBytes);
+  }
+
+  /** Counts a saved snapshot. */
+  public void countSnapshot(String origin) {
+    snapshots.labelValues(origin).inc();
+  }
+
   /** Counts a change of a replica's role and sets the term. */
   public void recordRoleChange(String role, long newTerm) {
     roleChanges.labelValues(role).inc();
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -213,6 +213,14 @@
             threads,
             routeFeed,
             onFatalError);
+    LOG.infof(
+        "event=journalRead snapshotIndex=%d snapshotBytes=%d entries=%d entryBytes=%d"
+            + " segmentBytes=%d",
+        control.snapshotIndex,
+        recovered.snapshot().state().size(),
+        recovered.entries().size(),
+        control.replica.logBytes(),
+        journal.segmentBytes());
     control.loop.start();
     if (!settings.platformList().isEmpty()) {
       control.platformThread.start();
@@ -593,7 +601,10 @@
     appliedIndex = snapshot.lastIndex();
     snapshotIndex = snapshot.lastIndex();
     documentsChanged = true;
-    LOG.infof("event=snapshotInstalled index=%d", snapshot.lastIndex());
+    metrics.countSnapshot("installed");
+    LOG.infof(
+        "event=snapshotInstalled index=%d bytes=%d entriesAfter=%d",
+        snapshot.lastIndex(), snapshot.state().size(), replica.lastIndex() - snapshot.lastIndex());
   }
 
   private void syncJournal() throws IOException {
@@ -601,6 +612,7 @@
       long upTo = replica.lastIndex();
       journal.sync();
       step(new ReplicaEvent.Persisted(upTo), nowMs());
+      metrics.recordLogSize(replica.logBytes(), journal.segmentBytes());
     }
   }
 
@@ -618,6 +630,8 @@
         snapshot, replica.term(), replica.votedFor(), replica.entriesAfter(appliedIndex));
     snapshotIndex = appliedIndex;
     step(new ReplicaEvent.SnapshotSaved(snapshot), nowMs());
+    metrics.countSnapshot("taken");
+    metrics.recordLogSize(replica.logBytes(), journal.segmentBytes());
   }
 
   private boolean isSnapshotDue() {
