A first start is complete or has not begun

Cause: a first start wrote two files, the first segment and then the identity, which are valid only together. Between the two names there are two syncs and a rename. The same holds for the founding of a cluster.

Evidence: InterruptedJournalTest ends a process before each operation on the disk, by a kill or a loss of power that keeps any part of what is not synced, ends the next start before each of its operations, too, and reads what is left. On the code before, all sequences failed at the first start and the founding, with this error; no other operation did.

Change: the first segment holds the identity in its first block, so one rename creates all that a replica needs. The identity file follows from it, and is written again at a start that does not find it.

Why it works: there is no state in between. What is refused stays so: a replica votes and acknowledges only when the identity file is written, and each vote or entry is a further block, so a folder with more than the first block and no identity file has lost it (aUsedDiskThatLostItsIdentityOrItsSegmentsIsRefused, with the error as before).

--- a/daemon/src/main/java/io/hingehoist/journal/Disk.java
+++ b/daemon/src/main/java/io/hingehoist/journal/Disk.java
@@ -43,16 +43,33 @@
   /** Writes a whole file, so that after a crash either the old or the new content exists. */
   default void writeAtomically(Path path, ByteBuffer content) throws IOException {
     Path temporary = path.resolveSibling(path.getFileName() + ".tmp");
-    Files.deleteIfExists(temporary);
+    delete(temporary);
     try (SyncedFile file = openForAppend(temporary)) {
       file.append(content);
       file.sync();
     }
-    Files.move(
-        temporary, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    rename(temporary, path);
     syncFolder(path.getParent());
   }
 
+  /** Renames a file, and replaces the target if it exists. */
+  default void rename(Path from, Path to) throws IOException {
+    Files.move(from, to, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+  }
+
+  /** Deletes a file if it exists. */
+  default void delete(Path path) throws IOException {
+    Files.deleteIfExists(path);
+  }
+
+  /** Cuts a file to a size, and returns once the size is on the disk. */
+  default void truncate(Path path, long sizeBytes) throws IOException {
+    try (FileChannel channel = FileChannel.open(path, StandardOpenOption.WRITE)) {
+      channel.truncate(sizeBytes);
+      channel.force(true);
+    }
+  }
+
   /** Syncs a folder, which makes the names of its files durable. */
   default void syncFolder(Path folder) throws IOException {
     try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
--- a/daemon/src/main/java/io/hingehoist/journal/Journal.java
+++ b/daemon/src/main/java/io/hingehoist/journal/Journal.java
@@ -47,19 +47,19 @@
   public static Journal open(Path folder, Disk disk, Metrics metrics) throws IOException {
     Journal journal = new Journal(folder, disk, metrics);
     Files.createDirectories(folder);
-    Optional<Identity> storedIdentity = Identity.read(folder);
-    List<Path> segments = Folders.listSorted(folder, SUFFIX);
-    if (storedIdentity.isEmpty() && segments.isEmpty()) {
-      journal.initialize(DurableState.blank(), Identity.random());
-      return journal;
-    }
-    if (storedIdentity.isEmpty() || segments.isEmpty()) {
-      throw DamageException.at(folder, 0, "the identity file or the journal segments are missing");
+    if (isBlank(folder)) {
+      journal.startFirstSegment(DurableState.blank(), Identity.random());
     }
-    journal.recover(storedIdentity.get(), segments);
+    journal.recover();
     return journal;
   }
 
+  private static boolean isBlank(Path folder) throws IOException {
+    return Identity.read(folder).isEmpty()
+        && Folders.listSorted(folder, SUFFIX).isEmpty()
+        && Snapshots.isEmpty(folder);
+  }
+
   /**
    * Founds a new cluster whose first replica is stored in this folder.
    *
@@ -69,7 +69,7 @@
       Path folder, Disk disk, String clusterId, String replicaAddress, long nowMs)
       throws IOException {
     Files.createDirectories(folder);
-    if (Identity.read(folder).isPresent() || !Folders.listSorted(folder, SUFFIX).isEmpty()) {
+    if (!isBlank(folder)) {
       throw new IOException(folder + ": already holds the state of a replica");
     }
     Identity identity = Identity.random().inCluster(clusterId);
@@ -78,29 +78,52 @@
             identity.replicaId(), replicaAddress, nowMs);
     DurableState state = new DurableState(1, "", LogSnapshot.empty(), List.of(first));
     try (Journal journal = new Journal(folder, disk, Metrics.create())) {
-      journal.initialize(state, identity);
+      journal.startFirstSegment(state, identity);
+      journal.recover();
     }
     return identity;
   }
 
   /**
-   * Writes the initial state. The identity is written last, so a folder with an identity is
-   * complete.
+   * Writes the initial state together with the identity, in one step: after a crash the folder is
+   * still blank, or {@link #recover} finds all that a start needs.
    */
-  private void initialize(DurableState state, Identity newIdentity) throws IOException {
-    recovered = Optional.of(state);
-    startSegment(0, state.term(), state.votedFor(), state.entries());
-    identity = newIdentity;
-    identity.write(folder, disk);
+  private void startFirstSegment(DurableState state, Identity newIdentity) throws IOException {
+    IdentityStep step = new IdentityStep(newIdentity.replicaId(), newIdentity.clusterId());
+    startSegment(0, Optional.of(step), state.term(), state.votedFor(), state.entries());
+    segment.close();
   }
 
-  private void recover(Identity storedIdentity, List<Path> segments) throws IOException {
-    identity = storedIdentity;
-    recovered = Optional.of(JournalReader.read(segments, Snapshots.readLatest(folder)));
+  private void recover() throws IOException {
+    List<Path> segments = Folders.listSorted(folder, SUFFIX);
+    if (segments.isEmpty()) {
+      throw missingFiles();
+    }
+    JournalReader reader = JournalReader.read(segments, Snapshots.readLatest(folder), disk);
     Path last = segments.getLast();
     segmentNumber = numberOf(last);
     segmentBytes = Files.size(last);
     segment = disk.openForAppend(last);
+    identity = recoverIdentity(reader);
+    recovered = Optional.of(reader.state());
+  }
+
+  /**
+   * Returns the identity of this disk. The first segment holds it, too, until the identity file is
+   * written; before that the replica neither votes nor acknowledges, so nothing follows it there.
+   */
+  private Identity recoverIdentity(JournalReader reader) throws IOException {
+    Optional<Identity> stored = Identity.read(folder);
+    if (stored.isPresent()) {
+      return stored.get();
+    }
+    Identity initial = reader.unusedIdentity().orElseThrow(this::missingFiles);
+    initial.write(folder, disk);
+    return initial;
+  }
+
+  private DamageException missingFiles() {
+    return DamageException.at(folder, 0, "the identity file or the journal segments are missing");
   }
 
   /** Returns the identity of this disk. */
@@ -179,19 +202,25 @@
     unsynced.clear();
     Snapshots.write(folder, snapshot, disk);
     segment.close();
-    startSegment(snapshot.lastIndex(), term, votedFor, entriesAfter);
+    startSegment(snapshot.lastIndex(), Optional.empty(), term, votedFor, entriesAfter);
     for (Path old : Folders.listSorted(folder, SUFFIX)) {
       if (numberOf(old) < segmentNumber) {
-        Files.delete(old);
+        disk.delete(old);
       }
     }
-    Snapshots.deleteBefore(folder, snapshot.lastIndex());
+    Snapshots.deleteBefore(folder, snapshot.lastIndex(), disk);
   }
 
-  private void startSegment(long snapshotIndex, long term, String votedFor, List<LogEntry> entries)
+  private void startSegment(
+      long snapshotIndex,
+      Optional<IdentityStep> newIdentity,
+      long term,
+      String votedFor,
+      List<LogEntry> entries)
       throws IOException {
     segmentNumber++;
     List<Bytes> steps = new ArrayList<>();
+    newIdentity.ifPresent(step -> steps.add(step.toBytes()));
     steps.add(new ResetStep(snapshotIndex).toBytes());
     steps.add(new VoteStep(term, votedFor).toBytes());
     entries.forEach(entry -> steps.add(new EntryStep(entry).toBytes()));
--- a/daemon/src/main/java/io/hingehoist/journal/JournalReader.java
+++ b/daemon/src/main/java/io/hingehoist/journal/JournalReader.java
@@ -4,11 +4,10 @@
 import io.hingehoist.replication.DurableState;
 import io.hingehoist.replication.LogSnapshot;
 import java.io.IOException;
-import java.nio.channels.FileChannel;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -16,21 +15,38 @@
  * {@link #read}.
  */
 final class JournalReader {
+  private final Disk disk;
   private final LogSnapshot snapshot;
   private final List<LogEntry> entries = new ArrayList<>();
   private long term;
   private String votedFor = "";
+  private Optional<Identity> identity = Optional.empty();
+  private int blockCount;
 
-  private JournalReader(LogSnapshot snapshot) {
+  private JournalReader(Disk disk, LogSnapshot snapshot) {
+    this.disk = disk;
     this.snapshot = snapshot;
   }
 
-  static DurableState read(List<Path> segments, LogSnapshot snapshot) throws IOException {
-    JournalReader reader = new JournalReader(snapshot);
+  static JournalReader read(List<Path> segments, LogSnapshot snapshot, Disk disk)
+      throws IOException {
+    JournalReader reader = new JournalReader(disk, snapshot);
     for (Path segment : segments) {
       reader.readSegment(segment, segment.equals(segments.getLast()));
     }
-    return new DurableState(reader.term, reader.votedFor, snapshot, reader.entries);
+    return reader;
+  }
+
+  DurableState state() {
+    return new DurableState(term, votedFor, snapshot, entries);
+  }
+
+  /**
+   * Returns the identity in the first block of the first segment; empty if there are further
+   * blocks, as then the replica may have voted or acknowledged entries.
+   */
+  Optional<Identity> unusedIdentity() {
+    return blockCount == 1 ? identity : Optional.empty();
   }
 
   private void readSegment(Path segment, boolean last) throws IOException {
@@ -43,7 +59,7 @@
       while (blocks.hasRemaining()) {
         if (!readBlock(segment, blocks)) {
           checkTornTail(segment, blocks, last);
-          truncate(segment, blocks.offset());
+          disk.truncate(segment, blocks.offset());
           return;
         }
       }
@@ -52,6 +68,7 @@
 
   private boolean readBlock(Path segment, BlockReader blocks) throws IOException {
     long offset = blocks.offset();
+    blockCount++;
     return blocks.read(step -> applyStep(segment, offset, JournalStep.fromBytes(step)));
   }
 
@@ -74,13 +91,6 @@
     }
   }
 
-  private static void truncate(Path segment, long offset) throws IOException {
-    try (FileChannel channel = FileChannel.open(segment, StandardOpenOption.WRITE)) {
-      channel.truncate(offset);
-      channel.force(true);
-    }
-  }
-
   private void applyStep(Path segment, long offset, JournalStep journalStep) throws IOException {
     switch (journalStep) {
       case ResetStep step -> entries.clear();
@@ -90,6 +100,8 @@
       }
       case TruncateStep step -> truncateFrom(step.fromIndex());
       case EntryStep step -> add(segment, offset, step.entry());
+      case IdentityStep step ->
+          identity = Optional.of(new Identity(step.replicaId(), step.clusterId()));
     }
   }
 
--- a/daemon/src/main/java/io/hingehoist/journal/Snapshots.java
+++ b/daemon/src/main/java/io/hingehoist/journal/Snapshots.java
@@ -5,7 +5,6 @@
 import io.hingehoist.replication.LogSnapshot;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -31,6 +30,10 @@
     snapshot.voters().encode(packer);
   }
 
+  static boolean isEmpty(Path folder) throws IOException {
+    return list(folder).isEmpty();
+  }
+
   /** Returns the latest snapshot, or the empty snapshot if there is none. */
   static LogSnapshot readLatest(Path folder) throws IOException {
     List<Path> files = list(folder);
@@ -52,11 +55,11 @@
     }
   }
 
-  static void deleteBefore(Path folder, long index) throws IOException {
+  static void deleteBefore(Path folder, long index, Disk disk) throws IOException {
     Path oldestKept = fileOf(folder, index);
     for (Path file : list(folder)) {
       if (file.compareTo(oldestKept) < 0) {
-        Files.delete(file);
+        disk.delete(file);
       }
     }
   }
