A start syncs what it has read

Cause: a process that is killed between the write and the sync of a block, or between a rename and the sync of the folder, leaves what the next process reads but a loss of power may undo. The next process counted all that it had read as synced, and could acknowledge an entry, or vote under an identity, that a later loss of power took back.

Evidence: InterruptedJournalTest, which now loses power after each start, failed in all its sequences without the change: the identity, and the entries of a founding, differed after the loss.

Change: after reading, a start syncs the last segment and the folder, two syncs more. Earlier segments were synced before the last one was begun.

--- a/daemon/src/main/java/io/hingehoist/journal/Journal.java
+++ b/daemon/src/main/java/io/hingehoist/journal/Journal.java
@@ -94,6 +94,10 @@
     segment.close();
   }
 
+  /**
+   * Reads the folder, and makes durable what it read: the process before may have ended between a
+   * write and its sync.
+   */
   private void recover() throws IOException {
     List<Path> segments = Folders.listSorted(folder, SUFFIX);
     if (segments.isEmpty()) {
@@ -104,6 +108,8 @@
     segmentNumber = numberOf(last);
     segmentBytes = Files.size(last);
     segment = disk.openForAppend(last);
+    segment.sync();
+    disk.syncFolder(folder);
     identity = recoverIdentity(reader);
     recovered = Optional.of(reader.state());
   }
--- a/daemon/src/test/java/io/hingehoist/journal/InterruptedJournalTest.java
+++ b/daemon/src/test/java/io/hingehoist/journal/InterruptedJournalTest.java
@@ -239,7 +239,7 @@
     }
   }
 
-  /** Checks what the next start finds. */
+  /** Checks what the next start finds, and that this is durable once the start returns. */
   private void checkContent(Sequence sequence, Play play, InterruptibleDisk disk, String where)
       throws IOException {
     List<Content> contents = sequence.contents();
@@ -255,6 +255,12 @@
     }
     assertTrue(allowed.contains(found), where + ": " + found + " is not among " + allowed);
     play.replicaId.ifPresent(id -> assertEquals(replicaId, id, where));
+    disk.losePower();
+    try (Journal journal = openOrCreate(folder, InterruptibleDisk.of(folder))) {
+      assertEquals(Content.of(journal), found, where + ", after a loss of power");
+      assertEquals(journal.identity().replicaId(), replicaId, where + ", after a loss of power");
+      appendAndSync(journal, entry(9, found.snapshotIndex() + found.entries().size() + 1));
+    }
   }
 
   @DataProvider
