--- a/daemon/src/main/java/io/hingehoist/journal/JournalReader.java
+++ b/daemon/src/main/java/io/hingehoist/journal/JournalReader.java
@@ -23,6 +23,12 @@
   private Optional<Identity> identity = Optional.empty();
   private int blockCount;
 
+  /**
+   * Whether the entries read belong to the history of the snapshot. A process that ends between the
+   * two files of an installed snapshot leaves the entries that the snapshot replaces.
+   */
+  private boolean continuesSnapshot = true;
+
   private JournalReader(Disk disk, LogSnapshot snapshot) {
     this.disk = disk;
     this.snapshot = snapshot;
@@ -93,7 +99,7 @@
 
   private void applyStep(Path segment, long offset, JournalStep journalStep) throws IOException {
     switch (journalStep) {
-      case ResetStep step -> entries.clear();
+      case ResetStep step -> reset();
       case VoteStep step -> {
         term = step.term();
         votedFor = step.votedFor();
@@ -105,12 +111,21 @@
     }
   }
 
+  private void reset() {
+    entries.clear();
+    continuesSnapshot = true;
+  }
+
   private void truncateFrom(long index) {
     entries.removeIf(entry -> entry.index() >= index);
+    continuesSnapshot |= index <= snapshot.lastIndex();
   }
 
   private void add(Path segment, long offset, LogEntry entry) throws IOException {
-    if (entry.index() <= snapshot.lastIndex()) {
+    if (entry.index() == snapshot.lastIndex()) {
+      continuesSnapshot = entry.term() == snapshot.lastTerm();
+    }
+    if (entry.index() <= snapshot.lastIndex() || !continuesSnapshot) {
       return;
     }
     long expected = snapshot.lastIndex() + entries.size() + 1;
--- a/daemon/src/test/java/io/hingehoist/journal/InterruptedJournalTest.java
+++ b/daemon/src/test/java/io/hingehoist/journal/InterruptedJournalTest.java
@@ -148,10 +148,15 @@
     List<NamedStep> snapshots = new ArrayList<>(entries);
     snapshots.add(save(snapshot(2, 1), 1, three));
     snapshots.add(save(snapshot(3, 1), 1));
+    List<NamedStep> installed = new ArrayList<>(entries);
+    installed.add(vote(4, one, two, three));
+    installed.add(save(snapshot(2, 4), 4));
+    installed.add(save(snapshot(7, 4), 4));
     return new Object[][] {
       {sequence("start and joining", List.of(join()))},
       {sequence("group commits", entries)},
       {sequence("snapshots", snapshots)},
+      {sequence("installed snapshots of another history", installed)},
       {new Sequence("founding", InterruptedJournalTest::found, founded(), List.of())},
     };
   }
