--- a/daemon/src/main/java/io/hingehoist/journal/JournalReader.java
+++ b/daemon/src/main/java/io/hingehoist/journal/JournalReader.java
@@ -99,7 +99,7 @@
 
   private void applyStep(Path segment, long offset, JournalStep journalStep) throws IOException {
     switch (journalStep) {
-      case ResetStep step -> reset();
+      case ResetStep step -> reset(segment, offset, step.snapshotIndex());
       case VoteStep step -> {
         term = step.term();
         votedFor = step.votedFor();
@@ -111,7 +111,11 @@
     }
   }
 
-  private void reset() {
+  private void reset(Path segment, long offset, long snapshotIndex) throws IOException {
+    if (snapshotIndex > snapshot.lastIndex()) {
+      throw DamageException.at(
+          segment, offset, "the snapshot up to entry " + snapshotIndex + " is missing");
+    }
     entries.clear();
     continuesSnapshot = true;
   }
--- a/daemon/src/test/java/io/hingehoist/journal/InterruptedJournalTest.java
+++ b/daemon/src/test/java/io/hingehoist/journal/InterruptedJournalTest.java
@@ -295,6 +295,16 @@
     checkRefused();
   }
 
+  /** A replica whose log was only in its lost snapshot started with an empty log. */
+  @Test
+  public void aUsedDiskThatLostItsSnapshotIsRefused() throws IOException {
+    LogEntry one = entry(1, 1);
+    List<NamedStep> steps = List.of(append(one, one), save(snapshot(1, 1), 1));
+    new Play().run(sequence("saved a snapshot", steps), folder, Disk.real());
+    Files.delete(Folders.listSorted(folder, ".snapshot").getLast());
+    expectThrows(DamageException.class, () -> openOrCreate(folder, Disk.real()));
+  }
+
   private void checkRefused() {
     String message =
         expectThrows(DamageException.class, () -> openOrCreate(folder, Disk.real())).getMessage();
