A cluster is founded by all of its voters, whenever the founder starts

What callers saw: if the control process at the first seed was killed before it had founded the cluster, no configuration was ever accepted and nothing was served.

Cause: the founder founded at its start and alone, if `bootstrap` was true, which holds at the first start only. A process that is killed in its first third of a second has written nothing and is told false at the next start, as is one that lost its disk; nobody else founds. And a founder that lost its disk before the others had become voters took the cluster with it.

Evidence: five control processes on, the first killed 150 or 300 ms after the start (no file written) and started again: nothing accepted within 15 s ("no leader is known"), once each.

Change: the replica at the first seed founds the cluster as soon as as many replicas as there are to be voters, itself included, say that they hold no entries, and none knows of a cluster. The first entry names all of them as voters. A replica without entries counts as blank whatever cluster its disk names, so no order of the two writes leaves a state of its own.

Why it works: a cluster accepts nothing before it has 2f + 1 voters, and no more than f lose their disks at once, so while anything must be kept too few replicas are blank. The founding by `hingehoistd found` is unchanged.

--- /dev/null
+++ b/core/src/main/java/io/hingehoist/replication/Membership.java
@@ -0,0 +1,31 @@
+package io.hingehoist.replication;
+
+import java.util.List;
+
+/**
+ * What a replica knows of itself and of the others when it starts.
+ *
+ * @param replicaId the identity stored on its disk
+ * @param address the address at which other replicas reach it
+ * @param clusterId the cluster that its disk belongs to; empty if it has joined none
+ * @param knownAddresses the addresses of some or all replicas, with or without its own
+ * @param voterCount the intended number of voters
+ * @param mayFound whether this replica founds the cluster once {@code voterCount} replicas are
+ *     blank; at most one replica of a deployment may
+ */
+public record Membership(
+    String replicaId,
+    String address,
+    String clusterId,
+    List<String> knownAddresses,
+    int voterCount,
+    boolean mayFound) {
+
+  /** Checks that there is an identity; copies the addresses. */
+  public Membership {
+    if (replicaId.isEmpty()) {
+      throw new IllegalArgumentException("replicaId must not be empty");
+    }
+    knownAddresses = List.copyOf(knownAddresses);
+  }
+}
--- a/core/src/main/java/io/hingehoist/replication/Replica.java
+++ b/core/src/main/java/io/hingehoist/replication/Replica.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.UUID;
 import java.util.random.RandomGenerator;
 
 /**
@@ -39,9 +40,17 @@
 
   private static final long INITIAL_TIMEOUT_DIVISOR = 4;
 
+  /**
+   * The number of election timeouts for which a replica that asked to join counts as blank. A blank
+   * one asks at least once in two.
+   */
+  private static final long BLANK_TIMEOUTS = 4;
+
   private final String id;
   private final String address;
   private final int voterCount;
+  private final boolean mayFound;
+  private final BlankReplicas blankReplicas = new BlankReplicas();
   private final ReplicaTiming timing;
   private final LogLimits limits;
   private final RandomGenerator random;
@@ -66,21 +75,18 @@
   private final ByteArrayOutputStream incomingSnapshot = new ByteArrayOutputStream();
 
   private Replica(
-      String id,
-      String address,
-      String clusterId,
-      List<String> knownAddresses,
-      int voterCount,
+      Membership membership,
       ReplicaTiming timing,
       LogLimits limits,
       RandomGenerator random,
       DurableState durableState,
       long nowMs) {
-    this.id = id;
-    this.address = address;
-    this.clusterId = clusterId;
-    this.knownAddresses = List.copyOf(knownAddresses);
-    this.voterCount = voterCount;
+    this.id = membership.replicaId();
+    this.address = membership.address();
+    this.clusterId = membership.clusterId();
+    this.knownAddresses = membership.knownAddresses();
+    this.voterCount = membership.voterCount();
+    this.mayFound = membership.mayFound();
     this.timing = timing;
     this.limits = limits;
     this.random = random;
@@ -93,46 +99,24 @@
     resetElectionTimer(nowMs);
   }
 
-  /**
-   * Creates a replica from the state recovered from its disk.
-   *
-   * @param id the identity stored on its disk
-   * @param address the address at which other replicas reach it
-   * @param clusterId the cluster that its disk belongs to; empty for a blank disk
-   * @param knownAddresses the addresses of some or all replicas, with or without its own
-   * @param voterCount the intended number of voters
-   */
+  /** Creates a replica from the state recovered from its disk. */
   public static Replica create(
-      String id,
-      String address,
-      String clusterId,
-      List<String> knownAddresses,
-      int voterCount,
+      Membership membership,
       ReplicaTiming timing,
       LogLimits limits,
       RandomGenerator random,
       DurableState durableState,
       long nowMs) {
-    if (id.isEmpty()) {
-      throw new IllegalArgumentException("id must not be empty");
-    }
-    return new Replica(
-        id,
-        address,
-        clusterId,
-        knownAddresses,
-        voterCount,
-        timing,
-        limits,
-        random,
-        durableState,
-        nowMs);
+    return new Replica(membership, timing, limits, random, durableState, nowMs);
   }
 
   /** Returns the first entry of a new cluster: a configuration with one voter. */
   public static LogEntry foundingEntry(String replicaId, String address, long stampedAtMs) {
-    ReplicaSet founder = new ReplicaSet(List.of(new ReplicaInfo(replicaId, address)));
-    Bytes body = ReplicatedLog.encodeVoters(founder);
+    return foundingEntry(new ReplicaSet(List.of(new ReplicaInfo(replicaId, address))), stampedAtMs);
+  }
+
+  private static LogEntry foundingEntry(ReplicaSet voters, long stampedAtMs) {
+    Bytes body = ReplicatedLog.encodeVoters(voters);
     return new LogEntry(1, 1, EntryKind.CONFIGURATION, stampedAtMs, body);
   }
 
@@ -178,6 +162,9 @@
       tickAsLeader(leadership.get(), nowMs);
       return;
     }
+    if (mayFound && isBlank()) {
+      foundIfAllBlank(nowMs);
+    }
     if (nowMs < electionDeadlineAtMs) {
       return;
     }
@@ -203,8 +190,43 @@
             });
   }
 
+  /**
+   * Founds a cluster with all of its voters at once, so that it survives the loss of as many as the
+   * deployment tolerates from its first entry on.
+   */
+  private void foundIfAllBlank(long nowMs) {
+    long oldestMs = nowMs - BLANK_TIMEOUTS * timing.electionTimeoutMs();
+    blankReplicas
+        .newVoters(new ReplicaInfo(id, address), voterCount, oldestMs)
+        .ifPresent(voters -> found(voters, nowMs));
+  }
+
+  private void found(ReplicaSet voters, long nowMs) {
+    clusterId = new UUID(random.nextLong(), random.nextLong()).toString();
+    effects.add(new ReplicaEffect.FoundCluster(clusterId, voters));
+    LogEntry first = foundingEntry(voters, 0);
+    if (term < first.term()) {
+      saveVote(first.term(), "");
+    }
+    log.append(List.of(first));
+    effects.add(ReplicaEffect.append(List.of(first)));
+    campaign(true, nowMs);
+  }
+
+  /**
+   * Returns whether this replica holds no entries. It may then join any cluster, also when its disk
+   * names one: it has acknowledged nothing to that.
+   */
+  private boolean isBlank() {
+    return log.lastIndex() == 0;
+  }
+
+  private JoinRequest joinRequest() {
+    return new JoinRequest(id, address, isBlank() ? "" : clusterId);
+  }
+
   private void sendJoinRequests() {
-    JoinRequest request = new JoinRequest(id, address, clusterId);
+    JoinRequest request = joinRequest();
     for (String peerAddress : knownAddresses) {
       if (!peerAddress.equals(address)) {
         effects.add(new ReplicaEffect.Send(peerAddress, request));
@@ -310,6 +332,7 @@
   }
 
   private void onVoteRequest(VoteRequest request, long nowMs) {
+    blankReplicas.onClusterMessage();
     if (request.preVote()) {
       sendVoteResponse(request, request.term(), wouldGrantPreVote(request, nowMs));
       return;
@@ -365,6 +388,7 @@
   }
 
   private void onAppendRequest(AppendRequest request, long nowMs) {
+    blankReplicas.onClusterMessage();
     if (isOtherCluster(request.clusterId())) {
       return;
     }
@@ -397,15 +421,15 @@
     lastLeaderContactAtMs = nowMs;
     leaderSeen = true;
     resetElectionTimer(nowMs);
-    effects.add(new ReplicaEffect.Send(leader, new JoinRequest(id, address, clusterId)));
+    effects.add(new ReplicaEffect.Send(leader, joinRequest()));
   }
 
   private boolean isOtherCluster(String otherClusterId) {
-    return !clusterId.isEmpty() && !clusterId.equals(otherClusterId);
+    return !isBlank() && !clusterId.equals(otherClusterId);
   }
 
   private void followLeader(long leaderTerm, String newLeader, String leaderCluster, long nowMs) {
-    if (clusterId.isEmpty()) {
+    if (!clusterId.equals(leaderCluster)) {
       clusterId = leaderCluster;
       effects.add(new ReplicaEffect.JoinCluster(leaderCluster));
     }
@@ -470,6 +494,7 @@
   }
 
   private void onSnapshotChunk(SnapshotChunk chunk, long nowMs) {
+    blankReplicas.onClusterMessage();
     boolean addressedToSelf = chunk.toReplicaId().equals(id);
     if (isOtherCluster(chunk.clusterId()) || chunk.term() < term || !addressedToSelf) {
       return;
@@ -527,6 +552,7 @@
   }
 
   private void onJoinRequest(JoinRequest request, long nowMs) {
+    blankReplicas.onJoinRequest(request, nowMs);
     boolean otherCluster = !request.clusterId().isEmpty() && isOtherCluster(request.clusterId());
     if (!otherCluster) {
       leadership.ifPresent(leading -> leading.onJoinRequest(request, nowMs));
@@ -602,7 +628,7 @@
     return address;
   }
 
-  /** Returns the id of the cluster; empty while the replica is blank. */
+  /** Returns the id of the cluster; empty if the replica has joined none. */
   public String clusterId() {
     return clusterId;
   }
--- a/core/src/main/java/io/hingehoist/replication/ReplicaEffect.java
+++ b/core/src/main/java/io/hingehoist/replication/ReplicaEffect.java
@@ -2,6 +2,7 @@
 
 import io.hingehoist.message.LogEntry;
 import io.hingehoist.message.Message;
+import io.hingehoist.message.ReplicaSet;
 import java.util.List;
 
 /** An action that a {@link Replica} requests from its caller, which carries them out in order. */
@@ -34,6 +35,9 @@
   /** Persists the id of the cluster that a blank replica has joined. */
   record JoinCluster(String clusterId) implements ReplicaEffect {}
 
+  /** Persists the id of a new cluster; its first entry is appended after that. */
+  record FoundCluster(String clusterId, ReplicaSet voters) implements ReplicaEffect {}
+
   /** Applies a committed entry. */
   record Apply(LogEntry entry) implements ReplicaEffect {}
 
--- a/core/src/test/java/io/hingehoist/replication/ReplicaGroup.java
+++ b/core/src/test/java/io/hingehoist/replication/ReplicaGroup.java
@@ -24,6 +24,9 @@
 final class ReplicaGroup {
   static final ReplicaTiming TIMING = ReplicaTiming.of(100, 20);
 
+  private static final LogLimits LARGE_LIMITS =
+      new LogLimits(1_000_000, 1_000_000, 1_000_000, 1_000_000);
+
   /** The maximum number of messages in flight; each further message drops a random one. */
   private static final int MAX_IN_FLIGHT = 200;
 
@@ -54,11 +57,8 @@
           new DurableState(term, votedFor, snapshot, List.copyOf(entries.values()));
       replica =
           Replica.create(
-              replicaId,
-              address,
-              clusterId,
-              addresses,
-              addresses.size(),
+              new Membership(
+                  replicaId, address, clusterId, addresses, addresses.size(), mayFound()),
               TIMING,
               limits,
               random,
@@ -67,6 +67,10 @@
       appliedIndex = snapshot.lastIndex();
     }
 
+    private boolean mayFound() {
+      return foundsItself && address.equals(addresses.getFirst());
+    }
+
     /** Ends the replica and discards its unsynced writes. */
     void crash() {
       replica = null;
@@ -111,6 +115,7 @@
           appliedIndex = snapshot.lastIndex();
         }
         case ReplicaEffect.JoinCluster join -> clusterId = join.clusterId();
+        case ReplicaEffect.FoundCluster found -> clusterId = found.clusterId();
         case ReplicaEffect.Apply apply -> recordApplied(this, apply.entry());
         case ReplicaEffect.Accepted accepted -> {}
         case ReplicaEffect.Rejected rejected -> {}
@@ -167,6 +172,7 @@
 
   final Random random;
   final LogLimits limits;
+  private final boolean foundsItself;
   final List<String> addresses;
   final Map<String, Box> boxes = new TreeMap<>();
   final List<Envelope> network = new ArrayList<>();
@@ -180,11 +186,21 @@
   int stateBytes;
 
   ReplicaGroup(long seed, int size) {
-    this(seed, size, new LogLimits(1_000_000, 1_000_000, 1_000_000, 1_000_000));
+    this(seed, size, LARGE_LIMITS);
   }
 
   ReplicaGroup(long seed, int size, LogLimits limits) {
+    this(seed, size, limits, false);
+  }
+
+  /** Returns a group of blank replicas, of which the first may found a cluster. */
+  static ReplicaGroup blank(long seed, int size) {
+    return new ReplicaGroup(seed, size, LARGE_LIMITS, true);
+  }
+
+  private ReplicaGroup(long seed, int size, LogLimits limits, boolean foundsItself) {
     this.limits = limits;
+    this.foundsItself = foundsItself;
     random = new Random(seed);
     List<String> boxAddresses = new ArrayList<>();
     for (int i = 0; i < size; i++) {
@@ -194,10 +210,12 @@
     for (String address : addresses) {
       boxes.put(address, new Box(address, "id-" + address));
     }
-    Box founder = boxes.get("box-0");
-    founder.clusterId = "cluster";
-    founder.term = 1;
-    founder.entries.put(1L, Replica.foundingEntry(founder.replicaId, founder.address, 0));
+    if (!foundsItself) {
+      Box founder = boxes.get("box-0");
+      founder.clusterId = "cluster";
+      founder.term = 1;
+      founder.entries.put(1L, Replica.foundingEntry(founder.replicaId, founder.address, 0));
+    }
     boxes.values().forEach(Box::start);
   }
 
--- a/daemon/src/main/java/io/hingehoist/daemon/AdapterProcess.java
+++ b/daemon/src/main/java/io/hingehoist/daemon/AdapterProcess.java
@@ -5,8 +5,6 @@
 import io.hingehoist.config.DaemonSettings;
 import io.hingehoist.host.HostNode;
 import io.hingehoist.journal.Disk;
-import io.hingehoist.journal.Identity;
-import io.hingehoist.journal.Journal;
 import io.hingehoist.log.DecisionLog;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.net.EventLoop;
@@ -27,7 +25,6 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.Optional;
-import java.util.UUID;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
@@ -94,7 +91,6 @@
   }
 
   private void startControl(ControlSection section) throws IOException {
-    foundClusterIfConfigured(section);
     ControlNode control =
         ControlNode.start(
             settings.node(),
@@ -119,23 +115,6 @@
         });
   }
 
-  private void foundClusterIfConfigured(ControlSection section) throws IOException {
-    Path folder = Path.of(settings.node().dataFolder());
-    boolean founds =
-        !section.foundsAt().isEmpty() && section.foundsAt().equals(section.doorAddress());
-    if (!founds || Identity.read(folder).isPresent()) {
-      return;
-    }
-    Identity identity =
-        Journal.found(
-            folder,
-            Disk.real(),
-            UUID.randomUUID().toString(),
-            section.listenAddress(),
-            System.currentTimeMillis());
-    log.write("clusterFounded", settings.node().nodeId(), "cluster=" + identity.clusterId());
-  }
-
   private void watchSettings(Consumer<DaemonSettings> changes) {
     SettingsFileWatcher.start(file, loop, log, changes);
   }
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -32,6 +32,7 @@
 import io.hingehoist.message.ProposeRequest;
 import io.hingehoist.message.ProposeResponse;
 import io.hingehoist.message.QueryRequest;
+import io.hingehoist.message.ReplicaInfo;
 import io.hingehoist.message.ReplyStatus;
 import io.hingehoist.message.Role;
 import io.hingehoist.message.RoutesRequest;
@@ -43,6 +44,7 @@
 import io.hingehoist.replication.DurableState;
 import io.hingehoist.replication.LogLimits;
 import io.hingehoist.replication.LogSnapshot;
+import io.hingehoist.replication.Membership;
 import io.hingehoist.replication.Replica;
 import io.hingehoist.replication.ReplicaEffect;
 import io.hingehoist.replication.ReplicaEvent;
@@ -148,11 +150,13 @@
     this.documentsChanged = true;
     this.replica =
         Replica.create(
-            journal.identity().replicaId(),
-            settings.listenAddress(),
-            journal.identity().clusterId(),
-            controlAddresses,
-            voterCount,
+            new Membership(
+                journal.identity().replicaId(),
+                settings.listenAddress(),
+                journal.identity().clusterId(),
+                controlAddresses,
+                voterCount,
+                mayFound(settings)),
             ReplicaTiming.of(settings.electionTimeoutMs(), settings.heartbeatMs()),
             limits,
             new Random(),
@@ -184,6 +188,10 @@
     this.platformThread.setDaemon(true);
   }
 
+  private static boolean mayFound(ControlSection settings) {
+    return !settings.foundsAt().isEmpty() && settings.foundsAt().equals(settings.doorAddress());
+  }
+
   /**
    * Starts a replica from the state in its data folder.
    *
@@ -463,7 +471,8 @@
       case ReplicaEffect.Append append -> journal.addEntries(append.entries());
       case ReplicaEffect.Truncate truncate -> journal.addTruncation(truncate.fromIndex());
       case ReplicaEffect.Install install -> install(install.snapshot());
-      case ReplicaEffect.JoinCluster join -> journal.joinCluster(join.clusterId());
+      case ReplicaEffect.JoinCluster join -> joinCluster(join.clusterId());
+      case ReplicaEffect.FoundCluster found -> foundCluster(found);
       case ReplicaEffect.Apply apply -> apply(apply.entry());
       case ReplicaEffect.Accepted accepted ->
           requests.onAccepted(accepted.token(), accepted.index());
@@ -594,6 +603,20 @@
     }
   }
 
+  private void joinCluster(String clusterId) throws IOException {
+    LOG.infof("event=clusterJoined cluster=%s replica=%s", clusterId, replica.id());
+    journal.joinCluster(clusterId);
+  }
+
+  private void foundCluster(ReplicaEffect.FoundCluster found) throws IOException {
+    LOG.infof(
+        "event=clusterFounded cluster=%s replica=%s blank=%s",
+        found.clusterId(),
+        replica.id(),
+        found.voters().voters().stream().map(ReplicaInfo::address).toList());
+    journal.joinCluster(found.clusterId());
+  }
+
   private void install(LogSnapshot snapshot) throws IOException {
     journal.saveSnapshot(
         snapshot, replica.term(), replica.votedFor(), replica.entriesAfter(snapshot.lastIndex()));
--- a/daemon/src/test/java/io/hingehoist/quorum/FiveReplicasTest.java
+++ b/daemon/src/test/java/io/hingehoist/quorum/FiveReplicasTest.java
@@ -47,6 +47,7 @@
 
   private final List<Optional<ControlNode>> replicas = new ArrayList<>();
   private Path folder;
+  private String foundsAt;
   private int port;
   private long startedAtNanos;
   private EventLoop loop;
@@ -59,6 +60,7 @@
     }
     loop = EventLoop.start(Throwable::printStackTrace);
     startedAtNanos = System.nanoTime();
+    foundsAt = "";
     replicas.clear();
     for (int i = 0; i < REPLICAS; i++) {
       replicas.add(Optional.empty());
@@ -119,6 +121,10 @@
                 Map.of(
                     "listenAddress",
                     address(index),
+                    "doorAddress",
+                    address(index),
+                    "foundsAt",
+                    foundsAt,
                     "lossesBorne",
                     String.valueOf(TOLERATED_LOSSES),
                     "electionTimeoutMs",
@@ -226,6 +232,24 @@
     assertEquals(readAtAnyReplica(), new Result.Newest(1, ONE));
   }
 
+  /** Nothing was ever accepted when the founder was killed at the first start. */
+  @Test
+  public void theClusterIsFoundedOnceAllReplicasAreBlank() throws Exception {
+    foundsAt = address(0);
+    for (int i = 1; i < REPLICAS; i++) {
+      start(i);
+    }
+    assertFalse(publish(1, 1, ONE) instanceof Result.Accepted);
+    start(0);
+    assertEquals(publishAtAnyReplica(1, ONE), new Result.Accepted(1));
+    for (int lost : List.of(0, 3)) {
+      close(lost);
+      deleteFolder(dataFolder(lost));
+      start(lost);
+    }
+    assertEquals(readAtAnyReplica(), new Result.Newest(1, ONE));
+  }
+
   @Test
   public void toleratesTheSimultaneousLossOfTwoDisks() throws Exception {
     foundCluster();
