A configuration that the heap can't hold is refused with 413

What callers saw: one configuration of 7.9 MB, within the limit of 8 MB, ended all five control processes, one after the other, as the operator sent it to the next; one of 3.9 MB ended one of five, and eight of those at once all.

Cause: the limit of a body did not depend on the heap, which is 64 MB; the parsed form alone takes several times the size. And there was no limit on the bodies held at once.

Change: a configuration may take a thirty-second of the heap, 2 MB here, six times the largest that the deployments know (1,940 routes, 316 KB). More is read to its end and refused with 413, which names size and limit. Bodies that are being received or await their answer may take an eighth together; a request beyond gets 503 with Retry-After, and has not run.

--- a/daemon/src/main/java/io/hingehoist/daemon/AdapterProcess.java
+++ b/daemon/src/main/java/io/hingehoist/daemon/AdapterProcess.java
@@ -34,7 +34,17 @@
  * with a fraction of a core.
  */
 final class AdapterProcess {
-  private static final int MAX_OPERATOR_BODY_BYTES = 8 * 1024 * 1024;
+  private static final long MAX_OPERATOR_BODY_BYTES = 8L * 1024 * 1024;
+
+  /**
+   * The share of the heap that one configuration may take. Its parsed form takes several times its
+   * size, and a replica holds it as an entry, in its state, in a snapshot, and in messages.
+   */
+  private static final long OPERATOR_BODY_HEAP_DIVISOR = 32;
+
+  /** The share of the heap for all configurations that are being received or published. */
+  private static final long OPERATOR_BODIES_HEAP_DIVISOR = 8;
+
   private static final int MAX_METRICS_BODY_BYTES = 1_024;
 
   private final DaemonSettings settings;
@@ -103,8 +113,13 @@
     if (!section.doorAddress().isEmpty()) {
       LocalOperatorCommands commands =
           LocalOperatorCommands.of(control, loop, OwnerNode.CONFIGURATION);
+      long heapBytes = Runtime.getRuntime().maxMemory();
       HttpServer.open(
-          loop, section.doorAddress(), MAX_OPERATOR_BODY_BYTES, adapter.operatorHandler(commands));
+          loop,
+          section.doorAddress(),
+          maxOperatorBodyBytes(heapBytes),
+          heapBytes / OPERATOR_BODIES_HEAP_DIVISOR,
+          adapter.operatorHandler(commands));
     }
     serveMetrics(section.metricsAddress());
     watchSettings(changed -> control.reload(changed.node()));
@@ -115,6 +130,11 @@
         });
   }
 
+  /** Returns the maximum size of a configuration that a process with some heap can hold. */
+  static int maxOperatorBodyBytes(long heapBytes) {
+    return (int) Math.min(MAX_OPERATOR_BODY_BYTES, heapBytes / OPERATOR_BODY_HEAP_DIVISOR);
+  }
+
   private void watchSettings(Consumer<DaemonSettings> changes) {
     SettingsFileWatcher.start(file, loop, log, changes);
   }
--- a/daemon/src/main/java/io/hingehoist/net/HttpConnection.java
+++ b/daemon/src/main/java/io/hingehoist/net/HttpConnection.java
@@ -29,8 +29,9 @@
   private static final int MAX_WAITING = 64;
   private static final long MAX_REFUSED_BYTES = 64L * 1024 * 1024;
   private static final long MS_PER_SECOND = 1_000;
+  private static final long RETRY_AFTER_MS = 500;
 
-  private record PendingRequest(HttpRequest request, boolean keepAlive) {}
+  private record PendingRequest(HttpRequest request, boolean keepAlive, long reservedBytes) {}
 
   private final HttpServer server;
   private final EventLoop loop;
@@ -39,6 +40,12 @@
   private io.netty.handler.codec.http.HttpRequest head;
   private ByteBuf body = Unpooled.EMPTY_BUFFER;
   private long bodyBytes;
+
+  /** The bytes reserved for the request that is being received, and for the one in flight. */
+  private long reservedBytes;
+
+  private long inFlightReservedBytes;
+  private boolean exceedsBudget;
   private boolean malformed;
 
   HttpConnection(HttpServer server, EventLoop loop) {
@@ -91,7 +98,10 @@
       ChannelHandlerContext context, io.netty.handler.codec.http.HttpRequest newHead) {
     head = newHead;
     bodyBytes = 0;
-    body = context.alloc().heapBuffer(Math.max(64, expectedBytes(newHead)));
+    exceedsBudget = false;
+    int expectedBytes = expectedBytes(newHead);
+    int initialBytes = reserveUpTo(expectedBytes) ? expectedBytes : 0;
+    body = context.alloc().heapBuffer(Math.max(64, initialBytes));
     if (HttpUtil.is100ContinueExpected(newHead)) {
       context.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -106,22 +116,41 @@
   private void addContent(ChannelHandlerContext context, HttpContent content) {
     bodyBytes += content.content().readableBytes();
     if (bodyBytes <= server.maxBodyBytes()) {
-      body.writeBytes(content.content());
+      if (reserveUpTo(bodyBytes)) {
+        body.writeBytes(content.content());
+      }
     } else if (bodyBytes > MAX_REFUSED_BYTES) {
       context.close();
     }
   }
 
+  /** Raises the reservation for the request being received, unless it exceeds the budget. */
+  private boolean reserveUpTo(long bytes) {
+    long missingBytes = Math.max(0, bytes - reservedBytes);
+    exceedsBudget |= !server.bodyBudget().reserve(missingBytes);
+    if (!exceedsBudget) {
+      reservedBytes += missingBytes;
+    }
+    return !exceedsBudget;
+  }
+
+  private void releaseReserved() {
+    server.bodyBudget().release(reservedBytes);
+    reservedBytes = 0;
+  }
+
   private void finishRequest(ChannelHandlerContext context) {
     byte[] bodyContent = new byte[body.readableBytes()];
     body.readBytes(bodyContent);
     body.release();
     body = Unpooled.EMPTY_BUFFER;
     if (malformed || head == null) {
+      releaseReserved();
       return;
     }
     boolean keepAlive = HttpUtil.isKeepAlive(head);
     if (bodyBytes > server.maxBodyBytes()) {
+      releaseReserved();
       write(
           context,
           HttpResponse.text(
@@ -131,15 +160,26 @@
           keepAlive);
       return;
     }
+    if (exceedsBudget) {
+      releaseReserved();
+      write(
+          context,
+          HttpResponse.text(503, "too many requests with large bodies at once")
+              .retryAfter(RETRY_AFTER_MS),
+          keepAlive);
+      return;
+    }
     String uri = head.uri();
     int queryStart = uri.indexOf('?');
     String path = queryStart < 0 ? uri : uri.substring(0, queryStart);
     HttpRequest request = new HttpRequest(head.method().name(), path, head.headers(), bodyContent);
     if (waiting.size() >= MAX_WAITING) {
+      releaseReserved();
       context.close();
       return;
     }
-    waiting.add(new PendingRequest(request, keepAlive));
+    waiting.add(new PendingRequest(request, keepAlive, reservedBytes));
+    reservedBytes = 0;
     handleNext(context);
   }
 
@@ -148,6 +188,7 @@
       return;
     }
     PendingRequest first = waiting.remove();
+    inFlightReservedBytes = first.reservedBytes();
     HttpExchange exchange =
         new HttpExchange(
             first.request(),
@@ -159,16 +200,21 @@
   }
 
   private void onAnswered(ChannelHandlerContext context, HttpResponse response, boolean keepAlive) {
-    inFlight = Optional.empty();
-    server.exchangeEnded();
+    endInFlight();
     write(context, response, keepAlive);
     handleNext(context);
   }
 
   private void onAborted(ChannelHandlerContext context) {
+    endInFlight();
+    Resets.reset(context.channel());
+  }
+
+  private void endInFlight() {
     inFlight = Optional.empty();
+    server.bodyBudget().release(inFlightReservedBytes);
+    inFlightReservedBytes = 0;
     server.exchangeEnded();
-    Resets.reset(context.channel());
   }
 
   private void write(ChannelHandlerContext context, HttpResponse response, boolean keepAlive) {
@@ -197,16 +243,17 @@
   public void channelInactive(ChannelHandlerContext context) {
     body.release();
     body = Unpooled.EMPTY_BUFFER;
+    releaseReserved();
     // The decoder may complete a request after the connection has closed.
     endRequests();
   }
 
   private void endRequests() {
+    waiting.forEach(pending -> server.bodyBudget().release(pending.reservedBytes()));
     waiting.clear();
     if (inFlight.isPresent()) {
       HttpExchange exchange = inFlight.get();
-      inFlight = Optional.empty();
-      server.exchangeEnded();
+      endInFlight();
       try {
         exchange.disconnected();
       } catch (RuntimeException | Error e) {
--- a/daemon/src/main/java/io/hingehoist/net/HttpServer.java
+++ b/daemon/src/main/java/io/hingehoist/net/HttpServer.java
@@ -22,13 +22,16 @@
 
   private final Channel listener;
   private final int maxBodyBytes;
+  private final BodyBudget bodyBudget;
   private final HttpHandler handler;
   private boolean closesConnections;
   private int openExchanges;
 
-  private HttpServer(EventLoop loop, String address, int maxBodyBytes, HttpHandler handler)
+  private HttpServer(
+      EventLoop loop, String address, int maxBodyBytes, BodyBudget bodyBudget, HttpHandler handler)
       throws IOException {
     this.maxBodyBytes = maxBodyBytes;
+    this.bodyBudget = bodyBudget;
     this.handler = handler;
     ServerBootstrap bootstrap =
         new ServerBootstrap()
@@ -62,7 +65,22 @@
    */
   public static HttpServer open(
       EventLoop loop, String address, int maxBodyBytes, HttpHandler handler) throws IOException {
-    return new HttpServer(loop, address, maxBodyBytes, handler);
+    return open(loop, address, maxBodyBytes, Long.MAX_VALUE, handler);
+  }
+
+  /**
+   * Opens a server that bounds the memory for bodies.
+   *
+   * @param maxBodyBytes the maximum size of a body; a larger one is read to its end and refused
+   *     with status 413
+   * @param maxHeldBytes the maximum total size of the bodies that are being received or await their
+   *     response; a request beyond it is read to its end and refused with status 503
+   * @throws IOException if the address can't be opened
+   */
+  public static HttpServer open(
+      EventLoop loop, String address, int maxBodyBytes, long maxHeldBytes, HttpHandler handler)
+      throws IOException {
+    return new HttpServer(loop, address, maxBodyBytes, BodyBudget.of(maxHeldBytes), handler);
   }
 
   /**
@@ -80,6 +98,10 @@
     return maxBodyBytes;
   }
 
+  BodyBudget bodyBudget() {
+    return bodyBudget;
+  }
+
   void handle(HttpExchange exchange) {
     openExchanges++;
     handler.handle(exchange);
--- a/daemon/src/test/java/io/hingehoist/net/HttpServerTest.java
+++ b/daemon/src/test/java/io/hingehoist/net/HttpServerTest.java
@@ -30,9 +30,7 @@
   public void open() throws IOException {
     events = new LinkedBlockingQueue<>();
     loop = EventLoop.start(Throwable::printStackTrace);
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      port = socket.getLocalPort();
-    }
+    port = freePort();
     server = HttpServer.open(loop, "127.0.0.1:" + port, MAX_BODY_BYTES, this::handle);
   }
 
@@ -76,6 +74,43 @@
     assertEquals(events.poll(TIMEOUT_S, TimeUnit.SECONDS), "work");
   }
 
+  /** A process ran out of memory while it held as many large bodies as there were callers. */
+  @Test
+  public void aBodyBeyondTheBudgetIsRefusedUntilAnotherIsAnswered() throws Exception {
+    int budgetedPort = freePort();
+    BlockingQueue<HttpExchange> exchanges = new LinkedBlockingQueue<>();
+    try (HttpServer budgeted =
+            HttpServer.open(
+                loop, "127.0.0.1:" + budgetedPort, MAX_BODY_BYTES, 50_000, exchanges::add);
+        Socket first = new Socket(InetAddress.getLoopbackAddress(), budgetedPort);
+        Socket second = new Socket(InetAddress.getLoopbackAddress(), budgetedPort)) {
+      assertEquals(budgeted.openExchanges(), 0);
+      first.getOutputStream().write(request(30_000));
+      HttpExchange held = exchanges.poll(TIMEOUT_S, TimeUnit.SECONDS);
+      second.getOutputStream().write(request(30_000));
+      assertEquals(statusLine(second), "HTTP/1.1 503 Service Unavailable");
+      loop.execute(() -> held.answer(HttpResponse.text(200, "done")));
+      assertEquals(statusLine(first), "HTTP/1.1 200 OK");
+      first.getOutputStream().write(request(30_000));
+      assertEquals(exchanges.poll(TIMEOUT_S, TimeUnit.SECONDS).request().body().length, 30_000);
+    }
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private static String statusLine(Socket socket) throws IOException {
+    socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_S));
+    StringBuilder line = new StringBuilder();
+    for (int c = socket.getInputStream().read(); c != '\r'; c = socket.getInputStream().read()) {
+      line.append((char) c);
+    }
+    return line.toString();
+  }
+
   private static byte[] request(int bodyBytes) {
     String head = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + bodyBytes + "\r\n\r\n";
     return (head + "b".repeat(bodyBytes)).getBytes(StandardCharsets.US_ASCII);
