A job that has ended is known until it is answered

Cause: the end of a job removes it at once, but its answer is carried out after the other events of the iteration. A submission in between found no job and began another, while its waiter joined those of the first, and its time of acceptance replaced the first one. The answer then took both. The same holds while answers are carried out, as one may free a connection for the next request.

Change: a job counts as known until it is answered; a submission until then gets this answer. Whether a job has lost its last caller is decided after the events of the iteration, so a caller that comes back at once finds its job running.

Why it works: the times of acceptance have one entry for each job without an answer, from its first submission to its answer, and a job begins only where there is none.

--- a/daemon/src/main/java/io/hingehoist/owner/JobWaiters.java
+++ b/daemon/src/main/java/io/hingehoist/owner/JobWaiters.java
@@ -25,6 +25,10 @@
     return true;
   }
 
+  boolean has(String jobId) {
+    return waiters.containsKey(jobId);
+  }
+
   /** Notifies the waiters of a job that has ended, and removes them. */
   void notifyEnd(String jobId, JobEnd end) {
     List<Waiter> waiting = waiters.remove(jobId);
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -42,8 +42,10 @@
 import io.hingehoist.wire.Addresses;
 import java.io.IOException;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -78,7 +80,13 @@
   private final RunTiming timing;
   private final JobOwner jobs;
   private final JobWaiters waiters = new JobWaiters();
+
+  /** The times at which the jobs without an answer were accepted. */
   private final Map<String, Long> acceptedAtMs = new HashMap<>();
+
+  /** The jobs that lost their last waiter since the last flush. */
+  private final Set<String> abandonedJobs = new LinkedHashSet<>();
+
   private final PlannedStop stop;
   private final ControlLinks controls;
   private final HostSessions hosts;
@@ -264,11 +272,22 @@
     if (sleepCheck.isPending()) {
       return;
     }
+    dropAbandonedJobs();
     jobs.place(nowMs);
     // An answer may free a caller's connection for its next job, which schedules its own flush.
     jobs.drainEffects().forEach(effect -> carryOut(effect, nowMs));
   }
 
+  /** Drops the jobs without a waiter, except those whose caller has come back meanwhile. */
+  private void dropAbandonedJobs() {
+    for (String jobId : abandonedJobs) {
+      if (!waiters.has(jobId)) {
+        jobs.drop(jobId, "caller disconnected");
+      }
+    }
+    abandonedJobs.clear();
+  }
+
   private void carryOut(OwnerEffect effect, long nowMs) {
     switch (effect) {
       case OwnerEffect.SendToHost send -> hosts.send(send.hostId(), send.message(), nowMs);
@@ -309,8 +328,10 @@
   public void submit(JobPlan plan, Waiter waiter) {
     long nowMs = EventLoop.nowMs();
     waiters.add(plan.jobId(), waiter);
-    if (jobs.submit(plan, nowMs)) {
+    // A job that has ended counts as known until it is answered: its waiters get that answer.
+    if (!acceptedAtMs.containsKey(plan.jobId())) {
       acceptedAtMs.put(plan.jobId(), nowMs);
+      jobs.submit(plan, nowMs);
     }
     loop.flushLater();
   }
@@ -318,7 +339,7 @@
   @Override
   public void removeWaiter(String jobId, Waiter waiter) {
     if (waiters.remove(jobId, waiter)) {
-      jobs.drop(jobId, "caller disconnected");
+      abandonedJobs.add(jobId);
       loop.flushLater();
     }
   }
--- a/daemon/src/test/java/io/hingehoist/owner/PausedOwnerTest.java
+++ b/daemon/src/test/java/io/hingehoist/owner/PausedOwnerTest.java
@@ -4,11 +4,7 @@
 import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertTrue;
 
-import io.hingehoist.adapter.Adapter;
 import io.hingehoist.adapter.JobIntake;
-import io.hingehoist.adapter.OperatorCommands;
-import io.hingehoist.adapter.WorkerCalls;
-import io.hingehoist.adapter.WorkerRegistry;
 import io.hingehoist.log.DecisionLog;
 import io.hingehoist.message.Bytes;
 import io.hingehoist.message.Hello;
@@ -29,11 +25,9 @@
 import io.hingehoist.message.WorkerState;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.net.EventLoop;
-import io.hingehoist.net.HttpHandler;
 import io.hingehoist.net.PeerChannel;
 import io.hingehoist.net.PeerHandler;
 import io.hingehoist.net.PeerLink;
-import io.hingehoist.route.RouteTable;
 import io.hingehoist.run.JobEnd;
 import io.hingehoist.run.JobPlan;
 import io.hingehoist.run.StepPlan;
@@ -71,40 +65,6 @@
   private static final Room NEED = new Room(100, 10, 0);
   private static final Room CAPACITY = new Room(8_000, 8_000, 0);
 
-  /** An adapter that only passes on the intake of jobs. */
-  private record IntakeAdapter(CompletableFuture<JobIntake> intake) implements Adapter {
-    @Override
-    public String name() {
-      return "intake";
-    }
-
-    @Override
-    public HttpHandler callerHandler(JobIntake jobIntake) {
-      intake.complete(jobIntake);
-      return exchange -> exchange.abort();
-    }
-
-    @Override
-    public RouteTable toRoutes(long version, Bytes configuration) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public HttpHandler operatorHandler(OperatorCommands commands) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public HttpHandler workerHandler(WorkerRegistry registry) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public WorkerCalls workerCalls(EventLoop loop, String ownAddress) {
-      throw new UnsupportedOperationException();
-    }
-  }
-
   /** A host with one empty worker. */
   private static final class Host implements PeerHandler {
     private final BlockingQueue<String> events;
