A refused start changes nothing on the disk

What callers saw: nothing; found by reading the diff.

A disk that had lost its identity file was refused, and by that lost the torn block, the only sign of its use; the next start took it for an unfinished one. The torn block was never acknowledged, so no promise was at stake, but a refusal must stay one.

Evidence: InterruptedJournalTest.aRefusedStartChangesNothing failed before: the second start was accepted.

Blocks are read through a window of 64 KB, a few reads for many small entries.

--- a/daemon/src/main/java/io/hingehoist/journal/BlockReader.java
+++ b/daemon/src/main/java/io/hingehoist/journal/BlockReader.java
@@ -12,15 +12,17 @@
 import java.util.zip.CRC32C;
 
 /**
- * Reads the blocks of a file in order. Only one part of a block is in memory at a time, whatever
- * the size of the file. Not thread-safe.
+ * Reads the blocks of a file in order. Only a window of the file and one part of a block are in
+ * memory at a time, whatever the size of the file. Not thread-safe.
  */
 final class BlockReader implements Closeable {
-  private static final int BUFFER_BYTES = 64 * 1024;
+  private static final int WINDOW_BYTES = 64 * 1024;
 
   private final FileChannel channel;
   private final long fileBytes;
-  private final ByteBuffer buffer = ByteBuffer.allocate(BUFFER_BYTES);
+  private final ByteBuffer window = ByteBuffer.allocate(WINDOW_BYTES);
+  private long windowStart;
+  private long windowEnd;
   private long offset;
 
   /** Consumes the parts of a block. */
@@ -62,10 +64,9 @@
     long end = offset + Blocks.HEADER_BYTES + intAt(offset);
     long position = offset + Blocks.HEADER_BYTES;
     while (position < end) {
-      byte[] part = new byte[intAt(position)];
-      readFully(ByteBuffer.wrap(part), position + Integer.BYTES);
-      position += Integer.BYTES + part.length;
-      handler.onPart(Bytes.copyOf(part));
+      Bytes part = partAt(position + Integer.BYTES, intAt(position));
+      position += Integer.BYTES + part.size();
+      handler.onPart(part);
     }
     offset = end;
     return true;
@@ -73,14 +74,9 @@
 
   /** Returns the offset of a valid block that begins after the next one does, if there is any. */
   OptionalLong findLaterBlock() throws IOException {
-    ByteBuffer window = ByteBuffer.allocate(BUFFER_BYTES);
-    for (long start = offset + 1; start < fileBytes; start += BUFFER_BYTES - Integer.BYTES + 1) {
-      window.clear().limit((int) Math.min(BUFFER_BYTES, fileBytes - start));
-      readFully(window, start);
-      for (int i = 0; i + Integer.BYTES <= window.limit(); i++) {
-        if (fitsIntoFile(start + i, window.getInt(i)) && isBlockAt(start + i)) {
-          return OptionalLong.of(start + i);
-        }
+    for (long later = offset + 1; later + Blocks.HEADER_BYTES <= fileBytes; later++) {
+      if (isBlockAt(later)) {
+        return OptionalLong.of(later);
       }
     }
     return OptionalLong.empty();
@@ -108,25 +104,43 @@
 
   private void update(CRC32C crc, long position, int length) throws IOException {
     long end = position + length;
-    for (long from = position; from < end; from += BUFFER_BYTES) {
-      buffer.clear().limit((int) Math.min(BUFFER_BYTES, end - from));
-      readFully(buffer, from);
-      crc.update(buffer.flip());
+    for (long from = position; from < end; from += WINDOW_BYTES) {
+      crc.update(read(from, (int) Math.min(WINDOW_BYTES, end - from)));
     }
   }
 
   private int intAt(long position) throws IOException {
-    buffer.clear().limit(Integer.BYTES);
-    readFully(buffer, position);
-    return buffer.getInt(0);
+    return read(position, Integer.BYTES).getInt();
   }
 
-  private void readFully(ByteBuffer target, long position) throws IOException {
-    while (target.hasRemaining()) {
-      if (channel.read(target, position + target.position()) < 0) {
+  private Bytes partAt(long position, int length) throws IOException {
+    byte[] part = new byte[length];
+    for (int from = 0; from < length; from += WINDOW_BYTES) {
+      int chunk = Math.min(WINDOW_BYTES, length - from);
+      read(position + from, chunk).get(part, from, chunk);
+    }
+    return Bytes.copyOf(part);
+  }
+
+  /**
+   * Returns some bytes of the file, at most as many as the window has, valid until the next call.
+   */
+  private ByteBuffer read(long position, int length) throws IOException {
+    if (position < windowStart || position + length > windowEnd) {
+      moveWindow(position);
+    }
+    return window.slice((int) (position - windowStart), length);
+  }
+
+  private void moveWindow(long position) throws IOException {
+    window.clear().limit((int) Math.min(WINDOW_BYTES, fileBytes - position));
+    while (window.hasRemaining()) {
+      if (channel.read(window, position + window.position()) < 0) {
         throw new EOFException("the file has become shorter while it was read");
       }
     }
+    windowStart = position;
+    windowEnd = position + window.limit();
   }
 
   @Override
--- a/daemon/src/main/java/io/hingehoist/journal/Journal.java
+++ b/daemon/src/main/java/io/hingehoist/journal/Journal.java
@@ -97,35 +97,35 @@
   /**
    * Reads the folder, and makes durable what it read: the process before may have ended between a
    * write and its sync.
+   *
+   * <p>The identity file may be missing only while nothing follows the first block of the first
+   * segment, which holds the identity, too: before the file is written, the replica neither votes
+   * nor acknowledges.
    */
   private void recover() throws IOException {
     List<Path> segments = Folders.listSorted(folder, SUFFIX);
     if (segments.isEmpty()) {
       throw missingFiles();
     }
-    JournalReader reader = JournalReader.read(segments, Snapshots.readLatest(folder), disk);
-    Path last = segments.getLast();
+    JournalReader reader = JournalReader.read(segments, Snapshots.readLatest(folder));
+    Optional<Identity> stored = Identity.read(folder);
+    identity = stored.or(reader::unusedIdentity).orElseThrow(this::missingFiles);
+    openLastSegment(segments.getLast(), reader);
+    if (stored.isEmpty()) {
+      identity.write(folder, disk);
+    }
+    recovered = Optional.of(reader.state());
+  }
+
+  private void openLastSegment(Path last, JournalReader reader) throws IOException {
+    if (reader.tornTailOffset().isPresent()) {
+      disk.truncate(last, reader.tornTailOffset().getAsLong());
+    }
     segmentNumber = numberOf(last);
     segmentBytes = Files.size(last);
     segment = disk.openForAppend(last);
     segment.sync();
     disk.syncFolder(folder);
-    identity = recoverIdentity(reader);
-    recovered = Optional.of(reader.state());
-  }
-
-  /**
-   * Returns the identity of this disk. The first segment holds it, too, until the identity file is
-   * written; before that the replica neither votes nor acknowledges, so nothing follows it there.
-   */
-  private Identity recoverIdentity(JournalReader reader) throws IOException {
-    Optional<Identity> stored = Identity.read(folder);
-    if (stored.isPresent()) {
-      return stored.get();
-    }
-    Identity initial = reader.unusedIdentity().orElseThrow(this::missingFiles);
-    initial.write(folder, disk);
-    return initial;
   }
 
   private DamageException missingFiles() {
--- a/daemon/src/main/java/io/hingehoist/journal/JournalReader.java
+++ b/daemon/src/main/java/io/hingehoist/journal/JournalReader.java
@@ -11,17 +11,17 @@
 import java.util.OptionalLong;
 
 /**
- * Reads the segments of a journal, truncates a torn tail, and detects damage. Not thread-safe; use
- * {@link #read}.
+ * Reads the segments of a journal, and tells a torn tail from damage. Not thread-safe; use {@link
+ * #read}.
  */
 final class JournalReader {
-  private final Disk disk;
   private final LogSnapshot snapshot;
   private final List<LogEntry> entries = new ArrayList<>();
   private long term;
   private String votedFor = "";
   private Optional<Identity> identity = Optional.empty();
   private int blockCount;
+  private OptionalLong tornTailOffset = OptionalLong.empty();
 
   /**
    * Whether the entries read belong to the history of the snapshot. A process that ends between the
@@ -29,14 +29,13 @@
    */
   private boolean continuesSnapshot = true;
 
-  private JournalReader(Disk disk, LogSnapshot snapshot) {
-    this.disk = disk;
+  private JournalReader(LogSnapshot snapshot) {
     this.snapshot = snapshot;
   }
 
-  static JournalReader read(List<Path> segments, LogSnapshot snapshot, Disk disk)
-      throws IOException {
-    JournalReader reader = new JournalReader(disk, snapshot);
+  /** Reads segments, and changes nothing on the disk. */
+  static JournalReader read(List<Path> segments, LogSnapshot snapshot) throws IOException {
+    JournalReader reader = new JournalReader(snapshot);
     for (Path segment : segments) {
       reader.readSegment(segment, segment.equals(segments.getLast()));
     }
@@ -47,9 +46,14 @@
     return new DurableState(term, votedFor, snapshot, entries);
   }
 
+  /** Returns the offset of a torn block at the end of the last segment, if there is one. */
+  OptionalLong tornTailOffset() {
+    return tornTailOffset;
+  }
+
   /**
-   * Returns the identity in the first block of the first segment; empty if there are further
-   * blocks, as then the replica may have voted or acknowledged entries.
+   * Returns the identity in the first block of the first segment; empty if anything follows it, as
+   * then the replica may have voted or acknowledged entries.
    */
   Optional<Identity> unusedIdentity() {
     return blockCount == 1 ? identity : Optional.empty();
@@ -65,7 +69,7 @@
       while (blocks.hasRemaining()) {
         if (!readBlock(segment, blocks)) {
           checkTornTail(segment, blocks, last);
-          disk.truncate(segment, blocks.offset());
+          tornTailOffset = OptionalLong.of(blocks.offset());
           return;
         }
       }
--- a/daemon/src/test/java/io/hingehoist/journal/InterruptedJournalTest.java
+++ b/daemon/src/test/java/io/hingehoist/journal/InterruptedJournalTest.java
@@ -295,6 +295,17 @@
     checkRefused();
   }
 
+  /** A start that was refused removed the torn block that told a used disk from a new one. */
+  @Test
+  public void aRefusedStartChangesNothing() throws IOException {
+    new Play().run(sequence("voted", List.of(vote(1))), folder, Disk.real());
+    Files.delete(folder.resolve("identity.properties"));
+    Path segment = Folders.listSorted(folder, ".journal").getLast();
+    Disk.real().truncate(segment, Files.size(segment) - 1);
+    checkRefused();
+    checkRefused();
+  }
+
   /** A replica whose log was only in its lost snapshot started with an empty log. */
   @Test
   public void aUsedDiskThatLostItsSnapshotIsRefused() throws IOException {
