--- a/core/src/test/java/io/hingehoist/replication/FoundingTest.java
+++ b/core/src/test/java/io/hingehoist/replication/FoundingTest.java
@@ -81,8 +81,7 @@
     ReplicaGroup group = ReplicaGroup.blank(seed, 5);
     int wiped = 0;
     for (int i = 0; i < 3_000; i++) {
-      List<ReplicaGroup.Box> boxes = List.copyOf(group.boxes.values());
-      ReplicaGroup.Box box = boxes.get(group.random.nextInt(boxes.size()));
+      ReplicaGroup.Box box = group.randomBox();
       int roll = group.random.nextInt(1_000);
       if (box.replica == null) {
         if (roll < 200) {
@@ -96,18 +95,13 @@
         box.crash();
       } else if (roll < 512 && wiped < 2) {
         box.wipeDisk("id-wiped-" + wiped++);
-      } else if (roll < 530 && !group.network.isEmpty()) {
-        group.network.remove(group.random.nextInt(group.network.size()));
-      } else if (!group.network.isEmpty()) {
-        group.deliver(group.network.remove(group.random.nextInt(group.network.size())));
+      } else if (roll < 530) {
+        group.loseRandomMessage();
+      } else {
+        group.deliverRandomMessage();
       }
       group.nowMs += group.random.nextInt(3);
     }
-    group.boxes.values().stream().filter(b -> b.replica == null).forEach(ReplicaGroup.Box::start);
-    group.network.clear();
-    group.runFor(5_000);
-    checkCommits(group, "the last");
-    long applied = group.leader().appliedIndex;
-    group.boxes.values().forEach(b -> assertEquals(b.appliedIndex, applied));
+    group.checkRecovery();
   }
 }
--- a/core/src/test/java/io/hingehoist/replication/ReplicaGroup.java
+++ b/core/src/test/java/io/hingehoist/replication/ReplicaGroup.java
@@ -1,6 +1,7 @@
 package io.hingehoist.replication;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import io.hingehoist.message.Bytes;
 import io.hingehoist.message.LogEntry;
@@ -271,6 +272,37 @@
     }
   }
 
+  Box randomBox() {
+    List<Box> all = List.copyOf(boxes.values());
+    return all.get(random.nextInt(all.size()));
+  }
+
+  /** Loses a random message, if any is in flight. */
+  void loseRandomMessage() {
+    if (!network.isEmpty()) {
+      network.remove(random.nextInt(network.size()));
+    }
+  }
+
+  /** Delivers a random message, if any is in flight. */
+  void deliverRandomMessage() {
+    if (!network.isEmpty()) {
+      deliver(network.remove(random.nextInt(network.size())));
+    }
+  }
+
+  /** Restarts crashed boxes, and checks that a further command is committed and applied by all. */
+  void checkRecovery() {
+    boxes.values().stream().filter(box -> box.replica == null).forEach(Box::start);
+    network.clear();
+    runFor(5_000);
+    propose(leader(), "the last");
+    runFor(500);
+    assertTrue(isCommitted("the last"));
+    long applied = leader().appliedIndex;
+    boxes.values().forEach(box -> assertEquals(box.appliedIndex, applied));
+  }
+
   Box leader() {
     return boxes.values().stream()
         .filter(box -> box.replica != null && box.replica.isLeader())
--- a/core/src/test/java/io/hingehoist/replication/ReplicaTest.java
+++ b/core/src/test/java/io/hingehoist/replication/ReplicaTest.java
@@ -307,8 +307,7 @@
     int proposed = 0;
     int wiped = 0;
     for (int i = 0; i < 6_000; i++) {
-      List<ReplicaGroup.Box> boxes = List.copyOf(group.boxes.values());
-      ReplicaGroup.Box box = boxes.get(group.random.nextInt(boxes.size()));
+      ReplicaGroup.Box box = group.randomBox();
       int roll = group.random.nextInt(1_000);
       if (box.replica == null) {
         if (roll < 100) {
@@ -326,20 +325,13 @@
         box.takeSnapshot();
       } else if (roll == 556 && group.mayLoseDisk(box) && wiped < 1) {
         box.wipeDisk("id-wiped-" + wiped++);
-      } else if (roll < 565 && !group.network.isEmpty()) {
-        group.network.remove(group.random.nextInt(group.network.size()));
-      } else if (!group.network.isEmpty()) {
-        group.deliver(group.network.remove(group.random.nextInt(group.network.size())));
+      } else if (roll < 565) {
+        group.loseRandomMessage();
+      } else {
+        group.deliverRandomMessage();
       }
       group.nowMs += group.random.nextInt(3);
     }
-    group.boxes.values().stream().filter(b -> b.replica == null).forEach(ReplicaGroup.Box::start);
-    group.network.clear();
-    group.runFor(5_000);
-    group.propose(group.leader(), "the last");
-    group.runFor(500);
-    assertTrue(group.isCommitted("the last"));
-    long applied = group.leader().appliedIndex;
-    group.boxes.values().forEach(b -> assertEquals(b.appliedIndex, applied));
+    group.checkRecovery();
   }
 }
--- a/daemon/src/test/java/io/hingehoist/net/HttpServerTest.java
+++ b/daemon/src/test/java/io/hingehoist/net/HttpServerTest.java
@@ -3,9 +3,9 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.hingehoist.wire.FreeAddresses;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
@@ -30,7 +30,7 @@
   public void open() throws IOException {
     events = new LinkedBlockingQueue<>();
     loop = EventLoop.start(Throwable::printStackTrace);
-    port = freePort();
+    port = FreeAddresses.nextPort();
     server = HttpServer.open(loop, "127.0.0.1:" + port, MAX_BODY_BYTES, this::handle);
   }
 
@@ -77,7 +77,7 @@
   /** A process ran out of memory while it held as many large bodies as there were callers. */
   @Test
   public void aBodyBeyondTheBudgetIsRefusedUntilAnotherIsAnswered() throws Exception {
-    int budgetedPort = freePort();
+    int budgetedPort = FreeAddresses.nextPort();
     BlockingQueue<HttpExchange> exchanges = new LinkedBlockingQueue<>();
     try (HttpServer budgeted =
             HttpServer.open(
@@ -96,12 +96,6 @@
     }
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
-
   private static String statusLine(Socket socket) throws IOException {
     socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_S));
     StringBuilder line = new StringBuilder();
--- a/daemon/src/test/java/io/hingehoist/owner/HostSessionsTest.java
+++ b/daemon/src/test/java/io/hingehoist/owner/HostSessionsTest.java
@@ -21,10 +21,10 @@
 import io.hingehoist.net.PeerChannel;
 import io.hingehoist.net.PeerHandler;
 import io.hingehoist.net.PeerLink;
+import io.hingehoist.wire.FreeAddresses;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.util.List;
@@ -140,7 +140,7 @@
     suspendedAtMs = new LinkedBlockingQueue<>();
     lost = new LinkedBlockingQueue<>();
     loop = EventLoop.start(Throwable::printStackTrace);
-    ownerAddress = freeAddress();
+    ownerAddress = FreeAddresses.next();
     Peer self = new Peer("o", Role.ENTRY, ownerAddress, 1, "z");
     // Late events on connections of an earlier test go to the queues of that test.
     RecordingListener listener = new RecordingListener(opened, suspendedAtMs, lost);
@@ -153,12 +153,6 @@
     loop.close();
   }
 
-  private static String freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return "127.0.0.1:" + socket.getLocalPort();
-    }
-  }
-
   private PeerLink openSession(long sessionId) {
     return openSession(INCARNATION, sessionId);
   }
@@ -225,7 +219,7 @@
     openSessionAndDisconnect();
     Long suspended = suspendedAtMs.poll(TIMEOUT_S, TimeUnit.SECONDS);
     assertNotNull(suspended);
-    Peer refusing = new Peer(HOST, Role.AGENT, freeAddress(), 1, "z");
+    Peer refusing = new Peer(HOST, Role.AGENT, FreeAddresses.next(), 1, "z");
     loop.execute(() -> sessions.announceToMissing(List.of(refusing), EventLoop.nowMs()));
     Lost session = lost.poll(TIMEOUT_S, TimeUnit.SECONDS);
     assertNotNull(session);
--- a/daemon/src/test/java/io/hingehoist/owner/PausedOwnerTest.java
+++ b/daemon/src/test/java/io/hingehoist/owner/PausedOwnerTest.java
@@ -32,18 +32,13 @@
 import io.hingehoist.run.JobPlan;
 import io.hingehoist.run.StepPlan;
 import io.hingehoist.run.TaskNames;
-import io.hingehoist.settings.NodeSection;
-import io.hingehoist.settings.OwnerSection;
+import io.hingehoist.wire.FreeAddresses;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
-import java.io.OutputStream;
-import java.io.PrintStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -58,7 +53,6 @@
 import org.testng.annotations.Test;
 
 public final class PausedOwnerTest {
-  private static final long RESUBMIT_AFTER_MS = 1_300;
   private static final long SESSION = 1;
   private static final long TIMEOUT_S = 10;
   private static final Hello HELLO = new Hello(Role.AGENT, "h", 1, "", 1);
@@ -119,12 +113,10 @@
   public void open() throws Exception {
     ownerLoop = EventLoop.start(Throwable::printStackTrace);
     hostLoop = EventLoop.start(Throwable::printStackTrace);
-    log =
-        DecisionLog.start(
-            "o", new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8));
+    log = StartedOwner.discardingLog();
     hostEvents = new LinkedBlockingQueue<>();
     leaseTimesMs = new LinkedBlockingQueue<>();
-    address = freeAddress();
+    address = FreeAddresses.next();
     startOwner();
     hostLink =
         PeerLink.open(
@@ -138,22 +130,9 @@
   }
 
   private void startOwner() throws Exception {
-    NodeSection node =
-        new NodeSection("o", List.of("owner"), "z", List.of(), 0, "", "", "text", "INFO");
-    OwnerSection settings =
-        new OwnerSection(
-            freeAddress(), "", address, "", RESUBMIT_AFTER_MS, 1_000, 50, 1, 14, 0, "");
-    CompletableFuture<JobIntake> created = new CompletableFuture<>();
-    owner =
-        OwnerNode.start(
-            node, settings, new IntakeAdapter(created), Metrics.create(), log, ownerLoop);
-    intake = created.get(TIMEOUT_S, TimeUnit.SECONDS);
-  }
-
-  private static String freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return "127.0.0.1:" + socket.getLocalPort();
-    }
+    StartedOwner started = StartedOwner.start(ownerLoop, log, address);
+    owner = started.node();
+    intake = started.intake();
   }
 
   @AfterMethod
@@ -178,7 +157,7 @@
   }
 
   private static void pauseUntilLeaseIsOver() {
-    long endMs = EventLoop.nowMs() + RESUBMIT_AFTER_MS;
+    long endMs = EventLoop.nowMs() + StartedOwner.RESUBMIT_AFTER_MS;
     while (EventLoop.nowMs() < endMs) {
       LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(endMs - EventLoop.nowMs()));
     }
--- a/daemon/src/test/java/io/hingehoist/owner/RepeatedSubmissionTest.java
+++ b/daemon/src/test/java/io/hingehoist/owner/RepeatedSubmissionTest.java
@@ -7,19 +7,11 @@
 import io.hingehoist.adapter.JobIntake;
 import io.hingehoist.log.DecisionLog;
 import io.hingehoist.message.Room;
-import io.hingehoist.metrics.Metrics;
 import io.hingehoist.net.EventLoop;
 import io.hingehoist.run.JobEnd;
 import io.hingehoist.run.JobPlan;
 import io.hingehoist.run.StepPlan;
-import io.hingehoist.settings.NodeSection;
-import io.hingehoist.settings.OwnerSection;
-import java.io.IOException;
-import java.io.OutputStream;
-import java.io.PrintStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.nio.charset.StandardCharsets;
+import io.hingehoist.wire.FreeAddresses;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -46,23 +38,10 @@
   public void open() throws Exception {
     errors.clear();
     loop = EventLoop.start(errors::add);
-    log =
-        DecisionLog.start(
-            "o", new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8));
-    NodeSection node =
-        new NodeSection("o", List.of("owner"), "z", List.of(), 0, "", "", "text", "INFO");
-    OwnerSection settings =
-        new OwnerSection(freeAddress(), "", freeAddress(), "", 1_300, 1_000, 50, 1, 14, 0, "");
-    CompletableFuture<JobIntake> created = new CompletableFuture<>();
-    owner =
-        OwnerNode.start(node, settings, new IntakeAdapter(created), Metrics.create(), log, loop);
-    intake = created.get(TIMEOUT_S, TimeUnit.SECONDS);
-  }
-
-  private static String freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return "127.0.0.1:" + socket.getLocalPort();
-    }
+    log = StartedOwner.discardingLog();
+    StartedOwner started = StartedOwner.start(loop, log, FreeAddresses.next());
+    owner = started.node();
+    intake = started.intake();
   }
 
   @AfterMethod
--- a/daemon/src/test/java/io/hingehoist/quorum/FiveReplicasTest.java
+++ b/daemon/src/test/java/io/hingehoist/quorum/FiveReplicasTest.java
@@ -18,7 +18,6 @@
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.net.EventLoop;
 import io.hingehoist.settings.ControlSection;
-import io.hingehoist.settings.FieldSpecs;
 import io.hingehoist.settings.NodeSection;
 import io.hingehoist.wire.MessageSink;
 import java.io.IOException;
@@ -99,7 +98,7 @@
   private void start(int index) throws IOException {
     NodeSection node =
         NodeSection.from(
-            values(
+            SettingsValues.of(
                 NodeSection.SPECS,
                 Map.of(
                     "nodeId",
@@ -116,7 +115,7 @@
                     dataFolder(index).toString())));
     ControlSection control =
         ControlSection.from(
-            values(
+            SettingsValues.of(
                 ControlSection.SPECS,
                 Map.of(
                     "listenAddress",
@@ -144,12 +143,6 @@
                 Throwable::printStackTrace)));
   }
 
-  private static java.util.function.Function<String, String> values(
-      List<io.hingehoist.message.FieldSpec> specs, Map<String, String> given) {
-    return name ->
-        given.getOrDefault(name, FieldSpecs.find(specs, name).orElseThrow().defaultValue());
-  }
-
   private Result submit(int index, Consumer<PendingOrder> request) throws Exception {
     CompletableFuture<Result> result = new CompletableFuture<>();
     ControlNode replica = replicas.get(index).orElseThrow();
--- a/daemon/src/test/java/io/hingehoist/quorum/LargeDocumentTest.java
+++ b/daemon/src/test/java/io/hingehoist/quorum/LargeDocumentTest.java
@@ -7,7 +7,6 @@
 import io.hingehoist.journal.Journal;
 import io.hingehoist.message.Announce;
 import io.hingehoist.message.Bytes;
-import io.hingehoist.message.FieldSpec;
 import io.hingehoist.message.Hello;
 import io.hingehoist.message.Message;
 import io.hingehoist.message.Peer;
@@ -15,13 +14,11 @@
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.net.EventLoop;
 import io.hingehoist.settings.ControlSection;
-import io.hingehoist.settings.FieldSpecs;
 import io.hingehoist.settings.NodeSection;
 import io.hingehoist.wire.FrameConnection;
 import io.hingehoist.wire.FrameHandler;
+import io.hingehoist.wire.FreeAddresses;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -32,7 +29,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -57,15 +53,13 @@
   @BeforeMethod
   public void start() throws IOException {
     Path folder = Files.createTempDirectory(Path.of("target"), "large-document");
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      address = "127.0.0.1:" + socket.getLocalPort();
-    }
+    address = FreeAddresses.next();
     loop = EventLoop.start(Throwable::printStackTrace);
     Journal.found(folder, Disk.real(), "c", address, 1);
     replica =
         ControlNode.start(
             NodeSection.from(
-                values(
+                SettingsValues.of(
                     NodeSection.SPECS,
                     Map.of(
                         "nodeId",
@@ -80,7 +74,8 @@
                         address.substring(address.indexOf(':') + 1),
                         "dataFolder",
                         folder.toString()))),
-            ControlSection.from(values(ControlSection.SPECS, Map.of("listenAddress", address))),
+            ControlSection.from(
+                SettingsValues.of(ControlSection.SPECS, Map.of("listenAddress", address))),
             Disk.real(),
             Metrics.create(),
             Thread.ofVirtual().factory(),
@@ -94,11 +89,6 @@
     loop.close();
   }
 
-  private static Function<String, String> values(List<FieldSpec> specs, Map<String, String> given) {
-    return name ->
-        given.getOrDefault(name, FieldSpecs.find(specs, name).orElseThrow().defaultValue());
-  }
-
   private void publish(long version) throws Exception {
     long startedAtNanos = System.nanoTime();
     while (System.nanoTime() - startedAtNanos < TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS)) {
--- a/daemon/src/test/java/io/hingehoist/quorum/ManyLargeChangesTest.java
+++ b/daemon/src/test/java/io/hingehoist/quorum/ManyLargeChangesTest.java
@@ -7,24 +7,19 @@
 import io.hingehoist.journal.Disk;
 import io.hingehoist.journal.Journal;
 import io.hingehoist.message.Bytes;
-import io.hingehoist.message.FieldSpec;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.net.EventLoop;
 import io.hingehoist.settings.ControlSection;
-import io.hingehoist.settings.FieldSpecs;
 import io.hingehoist.settings.NodeSection;
+import io.hingehoist.wire.FreeAddresses;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -43,18 +38,12 @@
   @Test(dataProvider = "changes")
   public void aReplicaStartsAgainAfterManyLargeChanges(int count, int bytes) throws Exception {
     Path folder = Files.createTempDirectory(Path.of("target"), "large-changes");
-    String address = freeAddress();
+    String address = FreeAddresses.next();
     Journal.found(folder, Disk.real(), "c", address, 1);
     assertEquals(run(folder, address, "publish", count, bytes), 0);
     assertEquals(run(folder, address, "read", count, bytes), 0);
   }
 
-  private static String freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return "127.0.0.1:" + socket.getLocalPort();
-    }
-  }
-
   private static int run(Path folder, String address, String action, int count, int bytes)
       throws Exception {
     String classPath =
@@ -108,7 +97,7 @@
   private static ControlNode startReplica(Path folder, String address) throws IOException {
     return ControlNode.start(
         NodeSection.from(
-            values(
+            SettingsValues.of(
                 NodeSection.SPECS,
                 Map.of(
                     "nodeId", "r",
@@ -117,7 +106,7 @@
                     "controlAddresses", address,
                     "dataFolder", folder.toString()))),
         ControlSection.from(
-            values(
+            SettingsValues.of(
                 ControlSection.SPECS, Map.of("listenAddress", address, "snapshotEntries", "500"))),
         Disk.real(),
         Metrics.create(),
@@ -126,11 +115,6 @@
         ManyLargeChangesTest::fail);
   }
 
-  private static Function<String, String> values(List<FieldSpec> specs, Map<String, String> given) {
-    return name ->
-        given.getOrDefault(name, FieldSpecs.find(specs, name).orElseThrow().defaultValue());
-  }
-
   private static void publish(
       LocalOperatorCommands commands, EventLoop loop, long version, int bytes) throws Exception {
     Result result;
--- a/daemon/src/test/java/io/hingehoist/wire/FrameServerTest.java
+++ b/daemon/src/test/java/io/hingehoist/wire/FrameServerTest.java
@@ -5,8 +5,6 @@
 import io.hingehoist.message.Message;
 import io.hingehoist.metrics.Metrics;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
 import org.testng.annotations.Test;
@@ -15,12 +13,6 @@
   private static final int READ_TIMEOUT_MS = 10_000;
   private static final int END_OF_STREAM = -1;
 
-  private static String freeAddress() throws IOException {
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return "127.0.0.1:" + free.getLocalPort();
-    }
-  }
-
   private static final class IgnoringHandler implements FrameHandler {
     @Override
     public void onMessage(FrameConnection connection, Message message) {}
@@ -36,7 +28,7 @@
   @Test
   public void aConnectionAcceptedWhileTheServerClosesIsClosed() throws IOException {
     CompletableFuture<FrameServer> opened = new CompletableFuture<>();
-    String address = freeAddress();
+    String address = FreeAddresses.next();
     opened.complete(
         FrameServer.open(
             address,
