A body's refusal is decided in one place; only a blank replica records blank ones

Cause: finishRequest repeated release, write and return for two refusals and had grown long; each replica kept the addresses of all that ever asked to join, which only one without entries uses.

Change: refusalOfBody, with statuses and texts as before, 413 first; requests to join are recorded while the replica holds no entries. Behaviour is the same.

--- a/core/src/main/java/io/hingehoist/replication/Replica.java
+++ b/core/src/main/java/io/hingehoist/replication/Replica.java
@@ -552,7 +552,9 @@
   }
 
   private void onJoinRequest(JoinRequest request, long nowMs) {
-    blankReplicas.onJoinRequest(request, nowMs);
+    if (isBlank()) {
+      blankReplicas.onJoinRequest(request, nowMs);
+    }
     boolean otherCluster = !request.clusterId().isEmpty() && isOtherCluster(request.clusterId());
     if (!otherCluster) {
       leadership.ifPresent(leading -> leading.onJoinRequest(request, nowMs));
--- a/daemon/src/main/java/io/hingehoist/net/HttpConnection.java
+++ b/daemon/src/main/java/io/hingehoist/net/HttpConnection.java
@@ -41,10 +41,12 @@
   private ByteBuf body = Unpooled.EMPTY_BUFFER;
   private long bodyBytes;
 
-  /** The bytes reserved for the request that is being received, and for the one in flight. */
+  /** The bytes reserved for the request that is being received. */
   private long reservedBytes;
 
+  /** The bytes reserved for the request in flight. */
   private long inFlightReservedBytes;
+
   private boolean exceedsBudget;
   private boolean malformed;
 
@@ -149,24 +151,10 @@
       return;
     }
     boolean keepAlive = HttpUtil.isKeepAlive(head);
-    if (bodyBytes > server.maxBodyBytes()) {
-      releaseReserved();
-      write(
-          context,
-          HttpResponse.text(
-              413,
-              "body: value of %d bytes is too large; allowed: at most %d"
-                  .formatted(bodyBytes, server.maxBodyBytes())),
-          keepAlive);
-      return;
-    }
-    if (exceedsBudget) {
+    Optional<HttpResponse> refusal = refusalOfBody();
+    if (refusal.isPresent()) {
       releaseReserved();
-      write(
-          context,
-          HttpResponse.text(503, "too many requests with large bodies at once")
-              .retryAfter(RETRY_AFTER_MS),
-          keepAlive);
+      write(context, refusal.get(), keepAlive);
       return;
     }
     String uri = head.uri();
@@ -183,6 +171,22 @@
     handleNext(context);
   }
 
+  private Optional<HttpResponse> refusalOfBody() {
+    if (bodyBytes > server.maxBodyBytes()) {
+      return Optional.of(
+          HttpResponse.text(
+              413,
+              "body: value of %d bytes is too large; allowed: at most %d"
+                  .formatted(bodyBytes, server.maxBodyBytes())));
+    }
+    if (exceedsBudget) {
+      return Optional.of(
+          HttpResponse.text(503, "too many requests with large bodies at once")
+              .retryAfter(RETRY_AFTER_MS));
+    }
+    return Optional.empty();
+  }
+
   private void handleNext(ChannelHandlerContext context) {
     if (inFlight.isPresent() || waiting.isEmpty()) {
       return;
