A first start does not read back what it has just written

Cause: the first start closed its segment, opened it again, read it and synced it and the folder once more, to share the path of later starts: two syncs, 18 ms on a disk of the deployments, for nothing.

Change: the first start keeps the segment it has written and writes the identity file, as a later start does where it is missing. What each operation leaves is unchanged.

Result: InterruptedJournalTest, JournalTest, FiveReplicasTest and ManyLargeChangesTest, 33 tests, no failure.

--- a/daemon/src/main/java/io/hingehoist/journal/Journal.java
+++ b/daemon/src/main/java/io/hingehoist/journal/Journal.java
@@ -48,9 +48,10 @@
     Journal journal = new Journal(folder, disk, metrics);
     Files.createDirectories(folder);
     if (isBlank(folder)) {
-      journal.startFirstSegment(DurableState.blank(), Identity.random());
+      journal.initialize(DurableState.blank(), Identity.random());
+    } else {
+      journal.recover();
     }
-    journal.recover();
     return journal;
   }
 
@@ -78,20 +79,21 @@
             identity.replicaId(), replicaAddress, nowMs);
     DurableState state = new DurableState(1, "", LogSnapshot.empty(), List.of(first));
     try (Journal journal = new Journal(folder, disk, Metrics.create())) {
-      journal.startFirstSegment(state, identity);
-      journal.recover();
+      journal.initialize(state, identity);
     }
     return identity;
   }
 
   /**
    * Writes the initial state together with the identity, in one step: after a crash the folder is
-   * still blank, or {@link #recover} finds all that a start needs.
+   * still blank, or {@link #recover} finds all that a start needs. The identity file follows.
    */
-  private void startFirstSegment(DurableState state, Identity newIdentity) throws IOException {
+  private void initialize(DurableState state, Identity newIdentity) throws IOException {
     IdentityStep step = new IdentityStep(newIdentity.replicaId(), newIdentity.clusterId());
     startSegment(0, Optional.of(step), state.term(), state.votedFor(), state.entries());
-    segment.close();
+    identity = newIdentity;
+    identity.write(folder, disk);
+    recovered = Optional.of(state);
   }
 
   /**
