--- a/daemon/src/test/java/io/hingehoist/client/ControlClientTest.java
+++ b/daemon/src/test/java/io/hingehoist/client/ControlClientTest.java
@@ -16,9 +16,8 @@
 import io.hingehoist.wire.FrameConnection;
 import io.hingehoist.wire.FrameHandler;
 import io.hingehoist.wire.FrameServer;
+import io.hingehoist.wire.FreeAddresses;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.util.List;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ThreadFactory;
@@ -39,10 +38,7 @@
   @BeforeMethod
   public void openReplica() throws IOException {
     queryCount.set(0);
-    String address;
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      address = "127.0.0.1:" + free.getLocalPort();
-    }
+    String address = FreeAddresses.next();
     Metrics metrics = Metrics.create();
     replica = FrameServer.open(address, this::handler, metrics, THREADS, 16);
     Hello hello = new Hello(Role.ENTRY, "entry", 1, "", FrameConnection.PROTOCOL_VERSION);
--- a/daemon/src/test/java/io/hingehoist/net/PeerLinkTest.java
+++ b/daemon/src/test/java/io/hingehoist/net/PeerLinkTest.java
@@ -9,9 +9,9 @@
 import io.hingehoist.message.OwnerBeat;
 import io.hingehoist.message.Role;
 import io.hingehoist.metrics.Metrics;
+import io.hingehoist.wire.FreeAddresses;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -45,9 +45,7 @@
     accepted = new LinkedBlockingQueue<>();
     closed = new LinkedBlockingQueue<>();
     loop = EventLoop.start(Throwable::printStackTrace);
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      address = "127.0.0.1:" + socket.getLocalPort();
-    }
+    address = FreeAddresses.next();
     // Late messages on connections of an earlier test go to the queues of that test.
     RecordingHandler recorder = new RecordingHandler(received, accepted, closed);
     server = PeerServer.open(loop, address, () -> recorder, Metrics.create());
--- a/daemon/src/test/java/io/hingehoist/wire/FrameConnectionTest.java
+++ b/daemon/src/test/java/io/hingehoist/wire/FrameConnectionTest.java
@@ -10,8 +10,6 @@
 import io.prometheus.metrics.model.snapshots.CounterSnapshot;
 import java.io.DataOutputStream;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
@@ -34,9 +32,7 @@
     received.clear();
     closed = new CountDownLatch(1);
     metrics = Metrics.create();
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      address = "127.0.0.1:" + free.getLocalPort();
-    }
+    address = FreeAddresses.next();
     server = FrameServer.open(address, this::handler, metrics, Thread.ofVirtual().factory(), 16);
   }
 
