Unfinished frames and silent connections at the address for other processes are limited

What was seen: 40 connections to the peer address of a control process that each sent a frame of 15 MB without its last byte ended it (OutOfMemoryError); 600 silent connections to that of a control process or a host used up its descriptors (300 allowed), so that it answered nobody else.

Cause: a frame may have 16 MB, and neither the unfinished frames of all connections nor the connections were bounded.

Change: FrameServer and PeerServer register their connections with a ConnectionLimiter of their own: unfinished frames may take a quarter of the heap, the largest gives way; connections three eighths of the descriptors, the oldest that never sent a frame gives way.

Tests: crowdOfPeers... and silentPeers... of CallerCrowdTest.

--- a/daemon/src/main/java/io/hingehoist/net/PeerChannel.java
+++ b/daemon/src/main/java/io/hingehoist/net/PeerChannel.java
@@ -16,6 +16,7 @@
 import io.netty.handler.flush.FlushConsolidationHandler;
 import java.io.IOException;
 import java.util.ArrayDeque;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -133,11 +134,19 @@
     private final PeerHandler handler;
     private final EventLoop loop;
 
+    /** The account of the connection if the peer has opened it. */
+    private Optional<MessageMeter> meter = Optional.empty();
+
     private Receiver(PeerHandler handler, EventLoop loop) {
       this.handler = handler;
       this.loop = loop;
     }
 
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+      meter = Optional.ofNullable(context.pipeline().get(MessageMeter.class));
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext context) {
       reportingErrors(() -> handler.onOpen(PeerChannel.this));
@@ -154,6 +163,7 @@
       byte[] body = new byte[buffer.readableBytes()];
       buffer.readBytes(body);
       buffer.release();
+      meter.ifPresent(MessageMeter::messageEnded);
       lastReceivedAtMs = EventLoop.nowMs();
       received = true;
       try {
--- a/daemon/src/main/java/io/hingehoist/net/PeerServer.java
+++ b/daemon/src/main/java/io/hingehoist/net/PeerServer.java
@@ -1,5 +1,7 @@
 package io.hingehoist.net;
 
+import io.hingehoist.limits.ConnectionLimiter;
+import io.hingehoist.limits.ConnectionLimits;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.wire.Addresses;
 import io.netty.bootstrap.ServerBootstrap;
@@ -29,6 +31,8 @@
   public static PeerServer open(
       EventLoop loop, String address, Supplier<PeerHandler> handlers, Metrics metrics)
       throws IOException {
+    ConnectionLimiter limiter = ConnectionLimiter.of(ConnectionLimits.ofPeers());
+    loop.report(limiter, "peer", metrics);
     ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(loop.group())
@@ -39,6 +43,7 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
+                    channel.pipeline().addLast(new MessageMeter(limiter, channel));
                     PeerChannel.install(channel, handlers.get(), metrics, loop);
                   }
                 });
--- a/daemon/src/main/java/io/hingehoist/wire/FrameConnection.java
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameConnection.java
@@ -1,5 +1,6 @@
 package io.hingehoist.wire;
 
+import io.hingehoist.limits.BodyBuffer;
 import io.hingehoist.message.Bytes;
 import io.hingehoist.message.KeepAlive;
 import io.hingehoist.message.Message;
@@ -10,6 +11,7 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ThreadFactory;
@@ -41,6 +43,7 @@
   private final AtomicBoolean closed = new AtomicBoolean();
   private final Thread reader;
   private final Thread writer;
+  private final FrameMemory memory;
   private volatile long lastReceivedAtMs = nowMs();
 
   private FrameConnection(
@@ -48,13 +51,15 @@
       FrameHandler handler,
       Metrics metrics,
       ThreadFactory threads,
-      int maxQueuedFrames) {
+      int maxQueuedFrames,
+      FrameMemory.Source memorySource) {
     this.socket = socket;
     this.handler = handler;
     this.metrics = metrics;
     this.sendQueue = new ArrayBlockingQueue<>(maxQueuedFrames);
     this.reader = threads.newThread(this::readFrames);
     this.writer = threads.newThread(this::writeFrames);
+    this.memory = memorySource.of(this);
   }
 
   /** Starts to read from and write to a connected socket, which the connection then owns. */
@@ -65,9 +70,22 @@
       ThreadFactory threads,
       int maxQueuedFrames)
       throws IOException {
+    return start(
+        socket, handler, metrics, threads, maxQueuedFrames, connection -> FrameMemory.UNLIMITED);
+  }
+
+  /** Starts a connection whose unfinished frames are limited. */
+  static FrameConnection start(
+      Socket socket,
+      FrameHandler handler,
+      Metrics metrics,
+      ThreadFactory threads,
+      int maxQueuedFrames,
+      FrameMemory.Source memorySource)
+      throws IOException {
     socket.setTcpNoDelay(true);
     FrameConnection connection =
-        new FrameConnection(socket, handler, metrics, threads, maxQueuedFrames);
+        new FrameConnection(socket, handler, metrics, threads, maxQueuedFrames, memorySource);
     connection.reader.start();
     connection.writer.start();
     return connection;
@@ -116,6 +134,7 @@
       close();
     } finally {
       close();
+      memory.connectionClosed();
       handler.onClosed(this);
     }
   }
@@ -128,6 +147,7 @@
           "frame length: value " + length + " is not allowed; allowed: 1 to " + MAX_FRAME_BYTES);
     }
     Message message = decode(readBody(in, length));
+    memory.frameEnded();
     lastReceivedAtMs = nowMs();
     metrics.countReceived(message, length);
     if (message instanceof KeepAlive keepAlive) {
@@ -144,12 +164,18 @@
   }
 
   /** Reads a body in pieces, so that a length without a body does not cause a large allocation. */
-  private static Bytes readBody(DataInputStream in, int length) throws IOException {
-    byte[] body = in.readNBytes(length);
-    if (body.length < length) {
-      throw new IOException("connection closed before the end of a frame");
+  private Bytes readBody(DataInputStream in, int length) throws IOException {
+    BodyBuffer body = BodyBuffer.create(length);
+    for (int remaining = length; remaining > 0; ) {
+      byte[] piece = in.readNBytes(Math.min(remaining, BUFFER_BYTES));
+      if (piece.length == 0) {
+        throw new IOException("connection closed before the end of a frame");
+      }
+      body.append(ByteBuffer.wrap(piece));
+      memory.frameHolds(body.capacity());
+      remaining -= piece.length;
     }
-    return Bytes.copyOf(body);
+    return Bytes.copyOf(body.toBytes());
   }
 
   private Message decode(Bytes body) throws IOException {
--- a/daemon/src/main/java/io/hingehoist/wire/FrameServer.java
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameServer.java
@@ -1,5 +1,8 @@
 package io.hingehoist.wire;
 
+import io.hingehoist.limits.ConnectionLimiter;
+import io.hingehoist.limits.ConnectionLimits;
+import io.hingehoist.limits.ConnectionReports;
 import io.hingehoist.metrics.Metrics;
 import java.io.IOException;
 import java.net.ServerSocket;
@@ -8,9 +11,11 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadFactory;
 import java.util.function.Supplier;
+import org.jboss.logging.Logger;
 
 /** Accepts connections on one address. Thread-safe. */
 public final class FrameServer implements AutoCloseable {
+  private static final Logger LOG = Logger.getLogger(FrameServer.class);
   private static final int BACKLOG = 1_024;
 
   private final ServerSocket listener;
@@ -18,6 +23,8 @@
   private final Metrics metrics;
   private final ThreadFactory threads;
   private final int maxQueuedFrames;
+  private final ConnectionLimiter limiter = ConnectionLimiter.of(ConnectionLimits.ofPeers());
+  private final ConnectionReports reports;
   private final Set<FrameConnection> connections = ConcurrentHashMap.newKeySet();
 
   private FrameServer(
@@ -31,6 +38,9 @@
     this.metrics = metrics;
     this.threads = threads;
     this.maxQueuedFrames = maxQueuedFrames;
+    this.reports =
+        ConnectionReports.create(
+            limiter, "peer", metrics, line -> LOG.infof("event=connectionsClosed %s", line));
   }
 
   /**
@@ -59,13 +69,26 @@
         Socket socket = listener.accept();
         connections.removeIf(connection -> !connection.isOpen());
         addConnection(
-            FrameConnection.start(socket, handlers.get(), metrics, threads, maxQueuedFrames));
+            FrameConnection.start(
+                socket,
+                handlers.get(),
+                metrics,
+                threads,
+                maxQueuedFrames,
+                connection -> new LimitedFrames(limiter, connection)));
+        writeReports();
       } catch (IOException e) {
         // The listener was closed, or a connection broke before it was set up.
       }
     }
   }
 
+  private void writeReports() {
+    synchronized (limiter) {
+      reports.writeDue(FrameConnection.nowMs());
+    }
+  }
+
   private void addConnection(FrameConnection connection) {
     connections.add(connection);
     // A connection accepted while the server closes would stay open, without a process behind it.
--- /dev/null
+++ b/daemon/src/main/java/io/hingehoist/wire/LimitedFrames.java
@@ -0,0 +1,81 @@
+package io.hingehoist.wire;
+
+import io.hingehoist.limits.CloseReason;
+import io.hingehoist.limits.ConnectionLimiter;
+import io.hingehoist.limits.LimitedConnection;
+
+/**
+ * The account of a connection that another process has opened. Guarded by the monitor of its
+ * limiter.
+ */
+final class LimitedFrames implements FrameMemory, LimitedConnection {
+  private final ConnectionLimiter limiter;
+  private final FrameConnection connection;
+  private long heldBytes;
+
+  LimitedFrames(ConnectionLimiter limiter, FrameConnection connection) {
+    this.limiter = limiter;
+    this.connection = connection;
+    synchronized (limiter) {
+      if (!limiter.add(this)) {
+        connection.close();
+      }
+    }
+  }
+
+  @Override
+  public void frameHolds(long bytes) {
+    synchronized (limiter) {
+      limiter.recordHeld(this, bytes - heldBytes);
+      heldBytes = bytes;
+      limiter.enforceHeldBytes();
+    }
+  }
+
+  @Override
+  public void frameEnded() {
+    synchronized (limiter) {
+      limiter.recordHeld(this, -heldBytes);
+      heldBytes = 0;
+      limiter.recordRequest(this);
+    }
+  }
+
+  @Override
+  public void connectionClosed() {
+    synchronized (limiter) {
+      limiter.remove(this);
+    }
+  }
+
+  @Override
+  public Stage stage() {
+    return Stage.RECEIVING;
+  }
+
+  @Override
+  public long heldBytes() {
+    return heldBytes;
+  }
+
+  @Override
+  public long releasableBytes() {
+    return heldBytes;
+  }
+
+  @Override
+  public void giveWay() {
+    close(CloseReason.HELD_BYTES);
+  }
+
+  @Override
+  public void close(CloseReason reason) {
+    limiter.recordClose(reason);
+    limiter.remove(this);
+    connection.close();
+  }
+
+  /** There is no time limit; the user of the connection detects its silence. */
+  @Override
+  public void checkTimeouts(long nowMs) {}
+}
