Unfinished responses of workers are limited together

A response of a worker may have 4 MB, and a host keeps up to 64 connections to it: 256 MB, with a heap of 32. Nothing was seen to fail; the bound follows from the question what a worker may make a host hold. Unfinished responses may now take an eighth of the heap together; the largest is given up, as if it had not been answered.

--- a/daemon/src/main/java/io/hingehoist/net/PooledHttpClient.java
+++ b/daemon/src/main/java/io/hingehoist/net/PooledHttpClient.java
@@ -124,8 +124,10 @@
               @Override
               protected void initChannel(Channel channel) {
                 connection.channel = channel;
+                connection.meter = new MessageMeter(loop.responses(), channel);
                 channel
                     .pipeline()
+                    .addLast(connection.meter)
                     .addLast(new HttpClientCodec())
                     .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
                     .addLast(connection);
@@ -156,6 +158,7 @@
 
   private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
     private Channel channel;
+    private MessageMeter meter;
     private Optional<PendingCall> inFlight = Optional.empty();
 
     /**
@@ -197,6 +200,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+      meter.messageEnded();
       Optional<PendingCall> answered = removeInFlight();
       if (answered.isEmpty()) {
         context.close();
