Jobs of very many tasks can't fill the memory of an owner

What was seen: 60 requests of 600 bytes, each for a job of a million tasks, ended an owner.

Cause: an owner keeps an object for each task; a step may have 100,000 tasks and a job any number of steps, and the tasks of all jobs were not bounded.

--- a/core/src/main/java/io/hingehoist/run/JobPlan.java
+++ b/core/src/main/java/io/hingehoist/run/JobPlan.java
@@ -30,4 +30,9 @@
   public JobPlan {
     steps = List.copyOf(steps);
   }
+
+  /** Returns the number of tasks of all steps. */
+  public long taskCount() {
+    return steps.stream().mapToLong(StepPlan::count).sum();
+  }
 }
--- a/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
+++ b/core/src/main/java/io/hingehoist/run/owner/JobOwner.java
@@ -63,6 +63,10 @@
   private final OwnerOutbox outbox = new OwnerOutbox();
   private final CrashHistory crashes = new CrashHistory();
   private long lastJobNumber;
+
+  /** The tasks of all unanswered jobs. */
+  private long taskCount;
+
   private long lastReadyWorkerAtMs;
   private OptionalLong firstReadyWorkerAtMs = OptionalLong.empty();
 
@@ -122,6 +126,7 @@
     }
     OwnedJob job = new OwnedJob(plan, nowMs, ++lastJobNumber);
     jobs.put(plan.jobId(), job);
+    taskCount += plan.taskCount();
     for (OwnedTask task : job.tasks()) {
       task.skipRunNumbers(formerRunNumbers.lastNumberOf(task.name()));
     }
@@ -172,6 +177,11 @@
     return jobs.size();
   }
 
+  /** Returns the number of tasks of all unanswered jobs. */
+  public long taskCount() {
+    return taskCount;
+  }
+
   /** Returns the number of tasks that are waiting for room. */
   public int waitingTaskCount() {
     return placement.waitingCount();
@@ -417,7 +427,9 @@
   }
 
   private void endJob(OwnedJob job, JobEnd end) {
-    jobs.remove(job.plan().jobId());
+    if (jobs.remove(job.plan().jobId()) != null) {
+      taskCount -= job.plan().taskCount();
+    }
     for (OwnedTask task : job.tasks()) {
       placement.remove(task);
       formerRunNumbers.record(task);
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -61,6 +61,18 @@
 
   private static final int MAX_READY_BODY_BYTES = 4_096;
 
+  /** The share of the heap for the tasks of jobs without an answer. */
+  private static final long TASKS_HEAP_DIVISOR = 5;
+
+  /** The memory of a task of a job. */
+  private static final long HEAP_BYTES_PER_TASK = 256;
+
+  /** The maximum number of tasks of all jobs without an answer. */
+  private static final long MAX_TASKS =
+      Runtime.getRuntime().maxMemory() / TASKS_HEAP_DIVISOR / HEAP_BYTES_PER_TASK;
+
+  private static final long RETRY_AFTER_MS = 1_000;
+
   /**
    * The minimum time for which a stopping owner still accepts jobs. By then the platform sends jobs
    * to other boxes.
@@ -168,6 +180,12 @@
     metrics.addGauge("hingehoist_owner_jobs", "Jobs without an answer.", owner.jobs::jobCount);
     metrics.addGauge(
         "hingehoist_owner_queued_tasks", "Tasks that wait for room.", owner.jobs::waitingTaskCount);
+    metrics.addGauge(
+        "hingehoist_owner_tasks", "Tasks of jobs without an answer.", owner.jobs::taskCount);
+    metrics.addGauge(
+        "hingehoist_owner_tasks_limit",
+        "Maximum number of tasks of jobs without an answer.",
+        () -> MAX_TASKS);
     ZoneGauges.add(metrics, owner.zones);
     metrics.addGauge(
         "hingehoist_log_lines_dropped", "Log lines dropped under load.", log::droppedCount);
@@ -329,9 +347,15 @@
   @Override
   public void submit(JobPlan plan, Waiter waiter) {
     long nowMs = EventLoop.nowMs();
+    boolean isNew = !acceptedAtMs.containsKey(plan.jobId());
+    if (isNew && jobs.taskCount() + plan.taskCount() > MAX_TASKS) {
+      metrics.countRefusal("tasks");
+      waiter.onEnd(new JobEnd.Refused("too many tasks at once", RETRY_AFTER_MS));
+      return;
+    }
     waiters.add(plan.jobId(), waiter);
     // A job that has ended counts as known until it is answered: its waiters get that answer.
-    if (!acceptedAtMs.containsKey(plan.jobId())) {
+    if (isNew) {
       acceptedAtMs.put(plan.jobId(), nowMs);
       jobs.submit(plan, nowMs);
     }
