Slow callers keep no thread of an entry, and can't fill its memory

What callers saw: 400 requests one byte short of their end kept all threads of an entry, which answered nothing, its health check included, until they left; 400 texts of 4 MB, 40 bytes short of their end, ended it (OutOfMemoryError).

Cause: Jersey reads a body in the thread of its request, and responses are written in one, so that each slow caller keeps one of 256; the parser's buffers of unfinished texts were not bounded.

Change: BodyReadingHandler, before Dropwizard's handlers, reads bodies as they arrive and without a thread, passes on whole requests, and sends responses from memory. What is received, in progress (five times its body while it is parsed, twice afterwards) and not read is counted by the same ConnectionLimiter as in the other HTTP servers, which also limits the connections. Refusals: 413 before the end of the body, 503 with cause BUSY and Retry-After.

--- a/daemon/src/main/java/io/hingehoist/daemon/ServerProcess.java
+++ b/daemon/src/main/java/io/hingehoist/daemon/ServerProcess.java
@@ -4,6 +4,7 @@
 import io.hingehoist.entry.EntryApplication;
 import io.hingehoist.entry.EntryNode;
 import io.hingehoist.journal.Disk;
+import io.hingehoist.limits.ConnectionLimits;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.quorum.ControlNode;
 import java.util.Optional;
@@ -46,7 +47,10 @@
             .map(s -> EntryNode.start(settings.node(), s, metrics, threads, Main::halt));
     Optional<EntryApplication> application = Optional.empty();
     if (entry.isPresent()) {
-      application = Optional.of(EntryApplication.start(entry.get(), metrics));
+      application =
+          Optional.of(
+              EntryApplication.start(
+                  entry.get(), metrics, ConnectionLimits.ofCallers(settings.callers())));
     } else if (!settings.control().get().metricsAddress().isEmpty()) {
       AgentProcess.serveMetrics(settings.control().get().metricsAddress(), metrics);
     }
--- a/daemon/src/main/java/io/hingehoist/entry/EntryApplication.java
+++ b/daemon/src/main/java/io/hingehoist/entry/EntryApplication.java
@@ -16,6 +16,7 @@
 import io.dropwizard.jetty.HttpConnectorFactory;
 import io.dropwizard.logging.common.LoggingFactory;
 import io.dropwizard.request.logging.LogbackAccessRequestLogFactory;
+import io.hingehoist.limits.ConnectionLimits;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.settings.EntrySection;
 import io.hingehoist.wire.Addresses;
@@ -34,16 +35,19 @@
 
   private final EntryNode entry;
   private final Metrics metrics;
+  private final ConnectionLimits limits;
   private final CompletableFuture<Server> server = new CompletableFuture<>();
 
-  private EntryApplication(EntryNode entry, Metrics metrics) {
+  private EntryApplication(EntryNode entry, Metrics metrics, ConnectionLimits limits) {
     this.entry = entry;
     this.metrics = metrics;
+    this.limits = limits;
   }
 
   /** Starts the HTTP server, and returns once it accepts connections. */
-  public static EntryApplication start(EntryNode entry, Metrics metrics) throws Exception {
-    EntryApplication application = new EntryApplication(entry, metrics);
+  public static EntryApplication start(EntryNode entry, Metrics metrics, ConnectionLimits limits)
+      throws Exception {
+    EntryApplication application = new EntryApplication(entry, metrics, limits);
     application.run("server");
     return application;
   }
@@ -103,7 +107,8 @@
       HttpConnectorFactory connector = new HttpConnectorFactory();
       connector.setBindHost(Addresses.host(settings.httpAddress()));
       connector.setPort(Addresses.port(settings.httpAddress()));
-      SimpleServerFactory factory = new SimpleServerFactory();
+      SimpleServerFactory factory =
+          new LimitedServerFactory(limits, Math.toIntExact(settings.maxBodyBytes()), metrics);
       factory.setConnector(connector);
       factory.setApplicationContextPath("/");
       factory.setAdminContextPath("/admin");
