Slow readers of an agent's metrics don't keep others out

Cause: the JDK's HTTP server reads each request in one of ten threads, without a time limit.

Change: a virtual thread for each connection, 64 connections, 5 s for a head, 20 s for a response.

--- a/daemon/src/main/java/io/hingehoist/daemon/AgentProcess.java
+++ b/daemon/src/main/java/io/hingehoist/daemon/AgentProcess.java
@@ -8,6 +8,7 @@
 import io.prometheus.metrics.exporter.httpserver.HTTPServer;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadFactory;
 
 /**
@@ -16,6 +17,16 @@
  */
 final class AgentProcess {
   private static final long STACK_BYTES = 192 * 1024;
+  private static final String MAX_METRICS_CONNECTIONS = "64";
+
+  /** The maximum time for the head of a request for metrics, in seconds. */
+  private static final String MAX_REQUEST_S = "5";
+
+  /** The maximum time for the response to a request for metrics, in seconds. */
+  private static final String MAX_RESPONSE_S = "20";
+
+  /** The time after which an idle connection for metrics is closed, in seconds. */
+  private static final String MAX_IDLE_S = "20";
 
   private AgentProcess() {}
 
@@ -47,8 +58,17 @@
     return thread;
   }
 
+  /**
+   * Serves metrics with the JDK's HTTP server. A virtual thread for each connection keeps slow
+   * callers from using up the threads of the others; the limits end their connections.
+   */
   static void serveMetrics(String address, Metrics metrics) throws IOException {
+    System.setProperty("jdk.httpserver.maxConnections", MAX_METRICS_CONNECTIONS);
+    System.setProperty("sun.net.httpserver.maxReqTime", MAX_REQUEST_S);
+    System.setProperty("sun.net.httpserver.maxRspTime", MAX_RESPONSE_S);
+    System.setProperty("sun.net.httpserver.idleInterval", MAX_IDLE_S);
     HTTPServer.builder()
+        .executorService(Executors.newVirtualThreadPerTaskExecutor())
         .inetAddress(InetAddress.getByName(Addresses.host(address)))
         .port(Addresses.port(address))
         .registry(metrics.registry())
--- a/scenarios/src/test/java/io/hingehoist/scenario/EntryCrowdTest.java
+++ b/scenarios/src/test/java/io/hingehoist/scenario/EntryCrowdTest.java
@@ -129,4 +129,38 @@
       throw new IllegalStateException(e);
     }
   }
+
+  @DataProvider
+  public Object[][] agentCrowds() {
+    return new Object[][] {
+      {"nothing is sent", 400, RawRequests.none()},
+      {"heads without an end", 400, REQUESTS.unfinishedHead("GET /metrics", 8_000)},
+      {"responses that are not read", 60, REQUESTS.repeatedWhole("GET /metrics", 3_000)},
+    };
+  }
+
+  @Test(dataProvider = "agentCrowds")
+  public void crowdNeitherEndsAgentNorKeepsItFromReturningItsMetrics(
+      String name, int connections, Supplier<Iterator<ByteBuffer>> pieces) throws Exception {
+    try (LocalCluster cluster =
+        LocalCluster.create(
+            Files.createTempDirectory("agent-crowd-"), ClusterSpec.of(1, 1, "porting", 8))) {
+      cluster.start();
+      try (Crowd crowd = Crowd.open(cluster.metricsAddress(1), connections, pieces)) {
+        LocalCluster.await("the crowd has sent", SETTLE_TIMEOUT_S, () -> crowd.isSettled(0));
+        checkMetrics(cluster);
+        checkAnswers(cluster);
+      }
+      checkMetrics(cluster);
+      assertTrue(cluster.process("agent-1").isRunning(), "the agent has ended");
+    }
+  }
+
+  private static void checkMetrics(LocalCluster cluster) {
+    URI uri = URI.create("http://" + cluster.metricsAddress(1) + "/metrics");
+    HttpRequest request = HttpRequest.newBuilder(uri).build();
+    try (HttpClient client = HttpClient.newBuilder().connectTimeout(REQUEST_TIMEOUT).build()) {
+      LocalCluster.await("the agent returns its metrics", () -> status(client, request) == 200);
+    }
+  }
 }
