What arrives behind a request counts, and a slow reader keeps its response

Read over the limits once more: the start of a head in the same read as the end of a body was not counted until more of it arrived, nor were the bytes behind a frame; and a response was given up 20 s after its start, although its caller was still reading. Now the decoder's share is an upper bound of what such a read left over, frames count by their length, and the time runs from the last progress.

Test: HttpLimitsTest.startOfAHeadBehindABodyIsCounted.

--- a/daemon/src/main/java/io/hingehoist/net/HttpConnection.java
+++ b/daemon/src/main/java/io/hingehoist/net/HttpConnection.java
@@ -94,9 +94,15 @@
   private long headStartedAtMs;
   private long lastReadAtMs = EventLoop.nowMs();
 
-  /** The decoder keeps a buffer as large as the largest head of the connection. */
+  /**
+   * What the decoder may keep between requests: a buffer as large as the largest head so far, and
+   * what has arrived after the last request.
+   */
   private long decoderBytes;
 
+  /** The bytes of the current read that are not content of a body. */
+  private long readBytesOutsideBodies;
+
   /** The parsed fields of the request that is being received. */
   private long fieldBytes;
 
@@ -109,6 +115,9 @@
   private long unsentBytes;
   private long unsentSinceMs;
 
+  /** The bytes of the response that the socket had not accepted when it last accepted some. */
+  private long unsentBytesAtCheck;
+
   /** The sum of the above as the limiter knows it. */
   private long heldBytes;
 
@@ -183,6 +192,7 @@
   /** Called before bytes that have arrived are decoded. */
   void beforeRead(int bytes) {
     partsInRead = 0;
+    readBytesOutsideBodies = bytes;
     lastReadAtMs = EventLoop.nowMs();
     if (head.isEmpty()) {
       headStartedAtMs = headBytes == 0 ? lastReadAtMs : headStartedAtMs;
@@ -197,6 +207,9 @@
       updateReading();
       loop.readTurns().await(this::takeTurn);
     }
+    if (head.isEmpty() && !discards) {
+      keepInDecoder(readBytesOutsideBodies);
+    }
     updateHeld();
     limiter.enforceHeldBytes();
   }
@@ -246,7 +259,7 @@
 
   private void startRequest(io.netty.handler.codec.http.HttpRequest newHead) {
     long announcedBytes = HttpUtil.getContentLength(newHead, -1L);
-    decoderBytes = Math.max(decoderBytes, Math.min(headBytes, MAX_HEADER_BYTES));
+    keepInDecoder(headBytes);
     headBytes = 0;
     head = Optional.of(newHead);
     bodyBytes = 0;
@@ -263,8 +276,14 @@
     }
   }
 
+  private void keepInDecoder(long bytes) {
+    decoderBytes = Math.max(decoderBytes, Math.min(bytes, MAX_HEADER_BYTES));
+  }
+
   private void addContent(HttpContent content) {
-    bodyBytes += content.content().readableBytes();
+    int contentBytes = content.content().readableBytes();
+    readBytesOutsideBodies -= contentBytes;
+    bodyBytes += contentBytes;
     if (bodyBytes > server.maxBodyBytes()) {
       refuseTooLarge(bodyBytes);
     } else {
@@ -406,6 +425,7 @@
     if (!context.channel().isWritable()) {
       unsentBytes = response.body().length + REQUEST_BYTES;
       unsentSinceMs = EventLoop.nowMs();
+      unsentBytesAtCheck = context.channel().bytesBeforeWritable();
     }
   }
 
@@ -546,7 +566,7 @@
     } else if (inFlight.isPresent() || discards) {
       return;
     } else if (unsentBytes > 0) {
-      closeIf(nowMs - unsentSinceMs > limiter.limits().idleTimeoutMs());
+      closeIf(unsentForMs(nowMs) > limiter.limits().idleTimeoutMs());
     } else if (head.isEmpty() && headBytes > 0) {
       refuseIf(
           nowMs - headStartedAtMs > limiter.limits().headerTimeoutMs(), CloseReason.HEADER_TIMEOUT);
@@ -557,6 +577,16 @@
     }
   }
 
+  /** Returns the time since the caller has read any part of the response. */
+  private long unsentForMs(long nowMs) {
+    long bytes = context.channel().bytesBeforeWritable();
+    if (bytes != unsentBytesAtCheck) {
+      unsentBytesAtCheck = bytes;
+      unsentSinceMs = nowMs;
+    }
+    return nowMs - unsentSinceMs;
+  }
+
   private void closeIf(boolean idle) {
     if (idle) {
       close(CloseReason.IDLE_TIMEOUT);
--- a/daemon/src/main/java/io/hingehoist/net/MessageMeter.java
+++ b/daemon/src/main/java/io/hingehoist/net/MessageMeter.java
@@ -33,10 +33,10 @@
     limiter.enforceHeldBytes();
   }
 
-  /** Records that a message is complete; only what follows it is held. */
-  void messageEnded() {
+  /** Records that a message is complete; only what has arrived after it is held. */
+  void messageEnded(long messageBytes) {
     limiter.recordRequest(this);
-    hold(0);
+    hold(Math.max(0, heldBytes - messageBytes));
   }
 
   private void hold(long bytes) {
--- a/daemon/src/main/java/io/hingehoist/net/PeerChannel.java
+++ b/daemon/src/main/java/io/hingehoist/net/PeerChannel.java
@@ -163,7 +163,7 @@
       byte[] body = new byte[buffer.readableBytes()];
       buffer.readBytes(body);
       buffer.release();
-      meter.ifPresent(MessageMeter::messageEnded);
+      meter.ifPresent(m -> m.messageEnded(LENGTH_BYTES + body.length));
       lastReceivedAtMs = EventLoop.nowMs();
       received = true;
       try {
--- a/daemon/src/main/java/io/hingehoist/net/PooledHttpClient.java
+++ b/daemon/src/main/java/io/hingehoist/net/PooledHttpClient.java
@@ -200,7 +200,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-      meter.messageEnded();
+      meter.messageEnded(meter.heldBytes());
       Optional<PendingCall> answered = removeInFlight();
       if (answered.isEmpty()) {
         context.close();
--- a/daemon/src/test/java/io/hingehoist/net/HttpLimitsTest.java
+++ b/daemon/src/test/java/io/hingehoist/net/HttpLimitsTest.java
@@ -253,4 +253,15 @@
     await(() -> heldBytes() > 600 * 100);
     assertTrue(heldBytes() <= MAX_HELD_BYTES);
   }
+
+  @Test
+  public void startOfAHeadBehindABodyIsCounted() throws Exception {
+    Socket caller = connect();
+    send(caller, head(1));
+    await(() -> heldBytes() > 0);
+    send(caller, "x" + "POST /x HTTP/1.1\r\nX-Filler: " + "x".repeat(10_000));
+    answer(nextExchange());
+    assertEquals(statusOf(caller), 200);
+    await(() -> heldBytes() >= 10_000);
+  }
 }
