--- a/daemon/src/main/java/io/hingehoist/net/HttpConnection.java
+++ b/daemon/src/main/java/io/hingehoist/net/HttpConnection.java
@@ -100,6 +100,9 @@
    */
   private long decoderBytes;
 
+  /** The most that the last read may have brought of the head after the request that it ended. */
+  private long carriedBytes;
+
   /** The bytes of the current read that are not content of a body. */
   private long readBytesOutsideBodies;
 
@@ -196,7 +199,7 @@
     lastReadAtMs = EventLoop.nowMs();
     if (head.isEmpty()) {
       headStartedAtMs = headBytes == 0 ? lastReadAtMs : headStartedAtMs;
-      headBytes += bytes;
+      headBytes += bytes + (headBytes == 0 ? carriedBytes : 0);
     }
   }
 
@@ -207,8 +210,9 @@
       updateReading();
       loop.readTurns().await(this::takeTurn);
     }
-    if (head.isEmpty() && !discards) {
-      keepInDecoder(readBytesOutsideBodies);
+    if (!discards) {
+      carriedBytes = head.isEmpty() ? readBytesOutsideBodies : 0;
+      keepInDecoder(carriedBytes);
     }
     updateHeld();
     limiter.enforceHeldBytes();
