A crowd that sends a byte now and then does not keep an entry from answering: test

EntryCrowdTest.tricklingCrowd...: 400 requests of which a byte arrives each second, so that no idle timeout ends them.

--- a/benchmark/src/main/java/io/hingehoist/standin/Crowd.java
+++ b/benchmark/src/main/java/io/hingehoist/standin/Crowd.java
@@ -19,6 +19,7 @@
  */
 public final class Crowd implements AutoCloseable {
   private static final long SELECT_TIMEOUT_MS = 100;
+  private static final long TRICKLE_NANOS = TimeUnit.SECONDS.toNanos(1);
   private static final long QUIET_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final Selector selector = Selector.open();
@@ -26,6 +27,8 @@
   private final Thread sender = new Thread(this::sendAll, "crowd");
   private volatile long lastProgressNanos = System.nanoTime();
   private volatile boolean closed;
+  private volatile boolean trickles;
+  private long trickledAtNanos;
   private long lastUnreadBytes;
 
   private Crowd() throws IOException {}
@@ -82,16 +85,33 @@
     }
   }
 
+  /** Makes each connection send one more byte each second from now on. */
+  public void trickle() {
+    trickles = true;
+  }
+
   private void sendAll() {
     try {
       while (!closed) {
         selector.select(this::send, SELECT_TIMEOUT_MS);
+        if (trickles && System.nanoTime() - trickledAtNanos >= TRICKLE_NANOS) {
+          trickledAtNanos = System.nanoTime();
+          channels.forEach(Crowd::sendByte);
+        }
       }
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
   }
 
+  private static void sendByte(SocketChannel channel) {
+    try {
+      channel.write(ByteBuffer.wrap(new byte[] {'x'}));
+    } catch (IOException e) {
+      // The process has closed the connection.
+    }
+  }
+
   private void send(SelectionKey key) {
     lastProgressNanos = System.nanoTime();
     SocketChannel channel = (SocketChannel) key.channel();
--- a/scenarios/src/test/java/io/hingehoist/scenario/EntryCrowdTest.java
+++ b/scenarios/src/test/java/io/hingehoist/scenario/EntryCrowdTest.java
@@ -85,6 +85,25 @@
     }
   }
 
+  /** Callers that send a byte now and then are never idle. */
+  @Test
+  public void tricklingCrowdDoesNotKeepEntryFromAnswering() throws Exception {
+    try (LocalCluster cluster =
+        LocalCluster.create(
+            Files.createTempDirectory("entry-crowd-"), ClusterSpec.of(1, 1, "porting", 8))) {
+      cluster.start();
+      Supplier<Iterator<ByteBuffer>> start =
+          REQUESTS.announced(RUN_REQUEST, 100_000, 1, PIECE_BYTES);
+      try (Crowd crowd = Crowd.open(cluster.httpAddress(1), 400, start)) {
+        LocalCluster.await(
+            "the crowd has settled", SETTLE_TIMEOUT_S, () -> crowd.isSettled(unreadBytes(cluster)));
+        crowd.trickle();
+        checkAnswers(cluster);
+      }
+      checkHeld(cluster, cluster.process("server-1"));
+    }
+  }
+
   private static long unreadBytes(LocalCluster cluster) {
     try {
       return ProcessFootprint.unreadBytes(cluster.ipOf("server-1"));
