--- a/scenarios/src/test/java/io/hingehoist/scenario/EntryCrowdTest.java
+++ b/scenarios/src/test/java/io/hingehoist/scenario/EntryCrowdTest.java
@@ -92,8 +92,7 @@
         LocalCluster.create(
             Files.createTempDirectory("entry-crowd-"), ClusterSpec.of(1, 1, "porting", 8))) {
       cluster.start();
-      Supplier<Iterator<ByteBuffer>> start =
-          REQUESTS.announced(RUN_REQUEST, 100_000, 1, PIECE_BYTES);
+      Supplier<Iterator<ByteBuffer>> start = REQUESTS.unfinishedText(RUN_REQUEST, 100_000, 99_000);
       try (Crowd crowd = Crowd.open(cluster.httpAddress(1), 400, start)) {
         LocalCluster.await(
             "the crowd has settled", SETTLE_TIMEOUT_S, () -> crowd.isSettled(unreadBytes(cluster)));
