Silent connections to a control process's peer address don't fill its memory

What was seen: 1,500 connections to the address for other processes that send nothing ended a control process (OutOfMemoryError), well within its 4,096 descriptors.

Cause: each connection had a send queue whose array of 32,768 places, 131 KB, was allocated when it opened.

Change: the queue grows with what waits in it, its bound stays; and connections of other processes are limited to one for each 64 KB of the heap (1,000 at a control process, 500 at a host). 131 KB for each let fewer than 500 fit before.

Test: CallerCrowdTest.crowdOfPeers..., 1,500 silent connections: on the control process had ended after 6 s; now it serves.

--- a/daemon/src/main/java/io/hingehoist/limits/ConnectionLimits.java
+++ b/daemon/src/main/java/io/hingehoist/limits/ConnectionLimits.java
@@ -23,8 +23,11 @@
   /** The share of the heap for unfinished responses of workers. */
   private static final long RESPONSES_HEAP_DIVISOR = 8;
 
-  /** The heap for one open connection, with its buffers and handlers. */
-  private static final long HEAP_BYTES_PER_CONNECTION = 16 * 1_024;
+  /** The heap for one open connection of a caller, with its buffers and handlers. */
+  private static final long HEAP_BYTES_PER_CALLER = 16 * 1_024;
+
+  /** The heap for one connection of another process, with its buffers and threads. */
+  private static final long HEAP_BYTES_PER_PEER = 64 * 1_024;
 
   /** The descriptors of the process itself: libraries, files and listeners. */
   private static final int OWN_DESCRIPTORS = 64;
@@ -52,7 +55,7 @@
     return new ConnectionLimits(
         settings.maxConnections() > 0
             ? settings.maxConnections()
-            : connections(CALLERS_SHARE, heapBytes, maxDescriptors),
+            : connections(CALLERS_SHARE, maxDescriptors, heapBytes / HEAP_BYTES_PER_CALLER),
         settings.maxHeldBytes() > 0 ? settings.maxHeldBytes() : heapBytes / CALLERS_HEAP_DIVISOR,
         settings.headerTimeoutMs(),
         settings.idleTimeoutMs());
@@ -61,7 +64,7 @@
   /** Returns the limits for other processes that connect to a process. */
   static ConnectionLimits ofPeers(CallersSection settings, long heapBytes, int maxDescriptors) {
     return new ConnectionLimits(
-        connections(PEERS_SHARE, heapBytes, maxDescriptors),
+        connections(PEERS_SHARE, maxDescriptors, heapBytes / HEAP_BYTES_PER_PEER),
         heapBytes / PEERS_HEAP_DIVISOR,
         settings.headerTimeoutMs(),
         settings.idleTimeoutMs());
@@ -76,10 +79,9 @@
         DEFAULT_SETTINGS.idleTimeoutMs());
   }
 
-  private static int connections(double share, long heapBytes, int maxDescriptors) {
+  private static int connections(double share, int maxDescriptors, long maxByHeap) {
     long byDescriptors = (long) ((maxDescriptors - OWN_DESCRIPTORS) * share);
-    long byHeap = heapBytes / HEAP_BYTES_PER_CONNECTION;
-    return Math.clamp(Math.min(byDescriptors, byHeap), 1, Integer.MAX_VALUE);
+    return Math.clamp(Math.min(byDescriptors, maxByHeap), 1, Integer.MAX_VALUE);
   }
 
   /** Returns the limits for callers of this process. */
--- a/daemon/src/main/java/io/hingehoist/wire/FrameConnection.java
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameConnection.java
@@ -12,8 +12,8 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.ByteBuffer;
-import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -56,7 +56,7 @@
     this.socket = socket;
     this.handler = handler;
     this.metrics = metrics;
-    this.sendQueue = new ArrayBlockingQueue<>(maxQueuedFrames);
+    this.sendQueue = new LinkedBlockingQueue<>(maxQueuedFrames);
     this.reader = threads.newThread(this::readFrames);
     this.writer = threads.newThread(this::writeFrames);
     this.memory = memorySource.of(this);
