The connections of callers follow from the heap; the deploy templates stay as they were

Change: the templates don't set callers.maxDescriptors. With the heaps of the deploy file one connection for each 32 KB of the heap (16 KB before) keeps callers at 1,280, 1,024 and 2,048 connections at owners, hosts and control processes, and with those of other processes below the 4,096 descriptors of a box.

--- a/daemon/src/main/java/io/hingehoist/limits/ConnectionLimits.java
+++ b/daemon/src/main/java/io/hingehoist/limits/ConnectionLimits.java
@@ -24,7 +24,7 @@
   private static final long RESPONSES_HEAP_DIVISOR = 8;
 
   /** The heap for one open connection of a caller, with its buffers and handlers. */
-  private static final long HEAP_BYTES_PER_CALLER = 16 * 1_024;
+  private static final long HEAP_BYTES_PER_CALLER = 32 * 1_024;
 
   /** The heap for one connection of another process, with its buffers and threads. */
   private static final long HEAP_BYTES_PER_PEER = 64 * 1_024;
