A process says at its start which limits on connections it has, and what they follow from

On a deployment of 95 boxes only two of 14 owners got the configuration. The closed connections were logged with their number (51), but nothing said where that limit came from, so that a limit below the deployment's need couldn't be told from slow control processes.

Each process now writes one line, event processLimits, with its descriptors, where that number comes from, its heap and the two limits on connections, and has the gauge hingehoist_descriptors_limit. The limits are computed in one place (ProcessLimits), and servers get theirs from it. No bound changes.

--- a/daemon/src/main/java/io/hingehoist/agent/AgentNode.java
+++ b/daemon/src/main/java/io/hingehoist/agent/AgentNode.java
@@ -6,6 +6,7 @@
 import io.hingehoist.command.CommandResult;
 import io.hingehoist.command.MemberRefused;
 import io.hingehoist.command.RegisterAgent;
+import io.hingehoist.limits.ConnectionLimits;
 import io.hingehoist.loop.InboxLoop;
 import io.hingehoist.loop.SleepDetector;
 import io.hingehoist.message.CreditDemand;
@@ -78,6 +79,7 @@
   private AgentNode(
       NodeSection node,
       AgentSection settings,
+      ConnectionLimits peerLimits,
       Metrics metrics,
       ThreadFactory threads,
       Consumer<Throwable> onFatalError)
@@ -101,18 +103,24 @@
             EntryHandler::new,
             metrics,
             threads,
-            MAX_QUEUED_FRAMES);
+            MAX_QUEUED_FRAMES,
+            peerLimits);
   }
 
-  /** Starts an agent. It accepts work once the control replicas have granted it a lease. */
+  /**
+   * Starts an agent. It accepts work once the control replicas have granted it a lease.
+   *
+   * @param peerLimits the limits on the connections that other processes open
+   */
   public static AgentNode start(
       NodeSection node,
       AgentSection settings,
+      ConnectionLimits peerLimits,
       Metrics metrics,
       ThreadFactory threads,
       Consumer<Throwable> onFatalError)
       throws IOException {
-    AgentNode agent = new AgentNode(node, settings, metrics, threads, onFatalError);
+    AgentNode agent = new AgentNode(node, settings, peerLimits, metrics, threads, onFatalError);
     agent.loop.start();
     LOG.infof(
         "event=agentStarted agent=%s incarnation=%d", node.nodeId(), agent.ledger.incarnation());
--- a/daemon/src/main/java/io/hingehoist/daemon/AdapterProcess.java
+++ b/daemon/src/main/java/io/hingehoist/daemon/AdapterProcess.java
@@ -5,7 +5,7 @@
 import io.hingehoist.config.DaemonSettings;
 import io.hingehoist.host.HostNode;
 import io.hingehoist.journal.Disk;
-import io.hingehoist.limits.ConnectionLimits;
+import io.hingehoist.limits.ProcessLimits;
 import io.hingehoist.log.DecisionLog;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.net.EventLoop;
@@ -50,6 +50,7 @@
   private final Adapter adapter;
   private final Metrics metrics;
   private final DecisionLog log;
+  private final ProcessLimits limits;
   private final EventLoop loop;
 
   private AdapterProcess(DaemonSettings settings, Path file, Adapter adapter, Metrics metrics) {
@@ -58,8 +59,11 @@
     this.adapter = adapter;
     this.metrics = metrics;
     this.log = DecisionLog.start(settings.node().nodeId(), System.out);
-    this.loop = EventLoop.start(Main::halt, ConnectionLimits.ofCallers(settings.callers()));
+    this.limits = ProcessLimits.of(settings.callers());
+    this.loop = EventLoop.start(Main::halt, limits);
     String node = settings.node().nodeId();
+    limits.report(metrics);
+    log.write("processLimits", node, limits.describe());
     loop.logClosedConnections(line -> log.write("connectionsClosed", node, line));
     loop.reportConnections(metrics);
   }
@@ -115,6 +119,7 @@
             settings.node(),
             section,
             Disk.real(),
+            limits.peers(),
             metrics,
             Thread.ofVirtual().name("traffic").factory(),
             Optional.of(RouteFeed.of(loop, OwnerNode.CONFIGURATION, adapter::toRoutes)),
--- a/daemon/src/main/java/io/hingehoist/daemon/AgentProcess.java
+++ b/daemon/src/main/java/io/hingehoist/daemon/AgentProcess.java
@@ -2,6 +2,8 @@
 
 import io.hingehoist.agent.AgentNode;
 import io.hingehoist.config.DaemonSettings;
+import io.hingehoist.limits.ConnectionLimits;
+import io.hingehoist.limits.ProcessLimits;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.settings.AgentSection;
 import io.hingehoist.wire.Addresses;
@@ -10,12 +12,14 @@
 import java.net.InetAddress;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadFactory;
+import org.jboss.logging.Logger;
 
 /**
  * A process with the agent role. To save memory it uses no Dropwizard, few threads and small
  * stacks.
  */
 final class AgentProcess {
+  private static final Logger LOG = Logger.getLogger(AgentProcess.class);
   private static final long STACK_BYTES = 192 * 1024;
   private static final String MAX_METRICS_CONNECTIONS = "64";
 
@@ -33,7 +37,11 @@
   static void start(DaemonSettings settings, Metrics metrics) throws IOException {
     AgentSection section = settings.agent().orElseThrow();
     ThreadFactory threads = AgentProcess::newThread;
-    AgentNode agent = AgentNode.start(settings.node(), section, metrics, threads, Main::halt);
+    ProcessLimits limits = ProcessLimits.of(settings.callers());
+    limits.report(metrics);
+    LOG.infof("event=processLimits %s", limits.describe());
+    AgentNode agent =
+        AgentNode.start(settings.node(), section, limits.peers(), metrics, threads, Main::halt);
     if (!section.metricsAddress().isEmpty()) {
       serveMetrics(section.metricsAddress(), metrics);
     }
@@ -47,7 +55,8 @@
     AgentSection section = settings.agent().orElseThrow();
     ThreadFactory threads = AgentProcess::newThread;
     try (AgentNode agent =
-        AgentNode.start(settings.node(), section, metrics, threads, Main::halt)) {
+        AgentNode.start(
+            settings.node(), section, ConnectionLimits.ofPeers(), metrics, threads, Main::halt)) {
       agent.warmUp();
     }
   }
--- a/daemon/src/main/java/io/hingehoist/daemon/ServerProcess.java
+++ b/daemon/src/main/java/io/hingehoist/daemon/ServerProcess.java
@@ -4,7 +4,7 @@
 import io.hingehoist.entry.EntryApplication;
 import io.hingehoist.entry.EntryNode;
 import io.hingehoist.journal.Disk;
-import io.hingehoist.limits.ConnectionLimits;
+import io.hingehoist.limits.ProcessLimits;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.quorum.ControlNode;
 import java.util.Optional;
@@ -13,6 +13,8 @@
 
 /** A process with the control role, the entry role, or both. */
 final class ServerProcess {
+  private static final Logger LOG = Logger.getLogger(ServerProcess.class);
+
   private final Optional<ControlNode> control;
   private final Optional<EntryNode> entry;
   private final Optional<EntryApplication> application;
@@ -28,6 +30,9 @@
 
   static void start(DaemonSettings settings, Metrics metrics) throws Exception {
     ThreadFactory threads = Thread.ofVirtual().name("traffic").factory();
+    ProcessLimits limits = ProcessLimits.of(settings.callers());
+    limits.report(metrics);
+    LOG.infof("event=processLimits %s", limits.describe());
     Optional<ControlNode> control = Optional.empty();
     if (settings.control().isPresent()) {
       control =
@@ -36,6 +41,7 @@
                   settings.node(),
                   settings.control().get(),
                   Disk.real(),
+                  limits.peers(),
                   metrics,
                   threads,
                   Optional.empty(),
@@ -47,19 +53,15 @@
             .map(s -> EntryNode.start(settings.node(), s, metrics, threads, Main::halt));
     Optional<EntryApplication> application = Optional.empty();
     if (entry.isPresent()) {
-      application =
-          Optional.of(
-              EntryApplication.start(
-                  entry.get(), metrics, ConnectionLimits.ofCallers(settings.callers())));
+      application = Optional.of(EntryApplication.start(entry.get(), metrics, limits.callers()));
     } else if (!settings.control().get().metricsAddress().isEmpty()) {
       AgentProcess.serveMetrics(settings.control().get().metricsAddress(), metrics);
     }
     ServerProcess process = new ServerProcess(control, entry, application);
     Runtime.getRuntime().addShutdownHook(new Thread(process::stop, "stop"));
-    Logger.getLogger(ServerProcess.class)
-        .infof(
-            "event=serverStarted node=%s roles=%s",
-            settings.node().nodeId(), String.join(",", settings.node().roles()));
+    LOG.infof(
+        "event=serverStarted node=%s roles=%s",
+        settings.node().nodeId(), String.join(",", settings.node().roles()));
   }
 
   /**
@@ -78,7 +80,7 @@
     try {
       application.stop();
     } catch (Exception e) {
-      Logger.getLogger(ServerProcess.class).warnf("event=httpStopFailed reason=\"%s\"", e);
+      LOG.warnf("event=httpStopFailed reason=\"%s\"", e);
     }
   }
 }
--- a/daemon/src/main/java/io/hingehoist/limits/ConnectionLimits.java
+++ b/daemon/src/main/java/io/hingehoist/limits/ConnectionLimits.java
@@ -74,7 +74,7 @@
   public static ConnectionLimits ofResponses() {
     return new ConnectionLimits(
         Integer.MAX_VALUE,
-        heapBytes() / RESPONSES_HEAP_DIVISOR,
+        Runtime.getRuntime().maxMemory() / RESPONSES_HEAP_DIVISOR,
         DEFAULT_SETTINGS.headerTimeoutMs(),
         DEFAULT_SETTINGS.idleTimeoutMs());
   }
@@ -84,23 +84,13 @@
     return Math.clamp(Math.min(byDescriptors, maxByHeap), 1, Integer.MAX_VALUE);
   }
 
-  /** Returns the limits for callers of this process. */
-  public static ConnectionLimits ofCallers(CallersSection settings) {
-    return ofCallers(
-        settings, heapBytes(), Descriptors.limitOfThisProcess(settings.maxDescriptors()));
-  }
-
   /** Returns the default limits for callers of this process. */
   public static ConnectionLimits ofCallers() {
-    return ofCallers(DEFAULT_SETTINGS);
+    return ProcessLimits.of(DEFAULT_SETTINGS).callers();
   }
 
-  /** Returns the limits for other processes that connect to this process. */
+  /** Returns the default limits for other processes that connect to this process. */
   public static ConnectionLimits ofPeers() {
-    return ofPeers(DEFAULT_SETTINGS, heapBytes(), Descriptors.limitOfThisProcess(0));
-  }
-
-  private static long heapBytes() {
-    return Runtime.getRuntime().maxMemory();
+    return ProcessLimits.of(DEFAULT_SETTINGS).peers();
   }
 }
--- a/daemon/src/main/java/io/hingehoist/net/EventLoop.java
+++ b/daemon/src/main/java/io/hingehoist/net/EventLoop.java
@@ -3,6 +3,7 @@
 import io.hingehoist.limits.ConnectionLimiter;
 import io.hingehoist.limits.ConnectionLimits;
 import io.hingehoist.limits.ConnectionReports;
+import io.hingehoist.limits.ProcessLimits;
 import io.hingehoist.metrics.Metrics;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -26,12 +27,16 @@
   private final Consumer<Throwable> onFatalError;
   private final ConnectionLimiter connections;
   private final ConnectionLimiter responses;
+  private final ConnectionLimits peers;
   private final List<ConnectionReports> reports = new ArrayList<>();
   private final ReadTurns readTurns = ReadTurns.create(this);
   private volatile Consumer<String> closedConnectionLines = line -> {};
 
   private EventLoop(
-      Consumer<Throwable> onFatalError, ConnectionLimits callers, ConnectionLimits responses) {
+      Consumer<Throwable> onFatalError,
+      ConnectionLimits callers,
+      ConnectionLimits responses,
+      ConnectionLimits peers) {
     this.group =
         new MultiThreadIoEventLoopGroup(
             1,
@@ -41,6 +46,7 @@
     this.onFatalError = onFatalError;
     this.connections = ConnectionLimiter.of(callers);
     this.responses = ConnectionLimiter.of(responses);
+    this.peers = peers;
     scheduleRepeating(this::checkConnections, CONNECTION_CHECK_MS);
   }
 
@@ -66,7 +72,13 @@
   /** Starts a loop with limits on the connections of callers and on the responses of workers. */
   static EventLoop start(
       Consumer<Throwable> onFatalError, ConnectionLimits callers, ConnectionLimits responses) {
-    return new EventLoop(onFatalError, callers, responses);
+    return new EventLoop(onFatalError, callers, responses, ConnectionLimits.ofPeers());
+  }
+
+  /** Starts a loop with the limits of a process. */
+  public static EventLoop start(Consumer<Throwable> onFatalError, ProcessLimits limits) {
+    return new EventLoop(
+        onFatalError, limits.callers(), ConnectionLimits.ofResponses(), limits.peers());
   }
 
   private void checkConnections() {
@@ -104,6 +116,11 @@
     return responses;
   }
 
+  /** Returns the limits on the connections that other processes open to one server. */
+  ConnectionLimits peers() {
+    return peers;
+  }
+
   /** Returns the limiter of the connections of callers. */
   ConnectionLimiter connections() {
     return connections;
--- a/daemon/src/main/java/io/hingehoist/net/PeerServer.java
+++ b/daemon/src/main/java/io/hingehoist/net/PeerServer.java
@@ -1,7 +1,6 @@
 package io.hingehoist.net;
 
 import io.hingehoist.limits.ConnectionLimiter;
-import io.hingehoist.limits.ConnectionLimits;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.wire.Addresses;
 import io.netty.bootstrap.ServerBootstrap;
@@ -31,7 +30,7 @@
   public static PeerServer open(
       EventLoop loop, String address, Supplier<PeerHandler> handlers, Metrics metrics)
       throws IOException {
-    ConnectionLimiter limiter = ConnectionLimiter.of(ConnectionLimits.ofPeers());
+    ConnectionLimiter limiter = ConnectionLimiter.of(loop.peers());
     loop.report(limiter, "peer", metrics);
     ServerBootstrap bootstrap =
         new ServerBootstrap()
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -15,6 +15,7 @@
 import io.hingehoist.control.Liveness;
 import io.hingehoist.journal.Disk;
 import io.hingehoist.journal.Journal;
+import io.hingehoist.limits.ConnectionLimits;
 import io.hingehoist.loop.InboxLoop;
 import io.hingehoist.message.Announce;
 import io.hingehoist.message.AppendRequest;
@@ -128,6 +129,7 @@
       Journal journal,
       DurableState recovered,
       LogLimits limits,
+      ConnectionLimits peerLimits,
       Metrics metrics,
       ThreadFactory threads,
       Optional<RouteFeed> routeFeed,
@@ -183,7 +185,8 @@
             IncomingHandler::new,
             metrics,
             threads,
-            MAX_QUEUED_FRAMES);
+            MAX_QUEUED_FRAMES,
+            peerLimits);
     this.platformThread = new Thread(this::readPlatformList, "platform-list");
     this.platformThread.setDaemon(true);
   }
@@ -195,6 +198,7 @@
   /**
    * Starts a replica from the state in its data folder.
    *
+   * @param peerLimits the limits on the connections that other processes open
    * @param routeFeed sends routes to owners, if the documents of the log hold routes
    * @param fatal called with an error after which this process must stop
    * @throws IOException if the data folder is damaged or the address can't be opened
@@ -203,6 +207,7 @@
       NodeSection node,
       ControlSection settings,
       Disk disk,
+      ConnectionLimits peerLimits,
       Metrics metrics,
       ThreadFactory threads,
       Optional<RouteFeed> routeFeed,
@@ -217,6 +222,7 @@
             journal,
             recovered,
             LogLimits.ofHeap(Runtime.getRuntime().maxMemory()),
+            peerLimits,
             metrics,
             threads,
             routeFeed,
--- a/daemon/src/main/java/io/hingehoist/wire/FrameServer.java
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameServer.java
@@ -23,7 +23,7 @@
   private final Metrics metrics;
   private final ThreadFactory threads;
   private final int maxQueuedFrames;
-  private final ConnectionLimiter limiter = ConnectionLimiter.of(ConnectionLimits.ofPeers());
+  private final ConnectionLimiter limiter;
   private final ConnectionReports reports;
   private final Set<FrameConnection> connections = ConcurrentHashMap.newKeySet();
 
@@ -32,12 +32,14 @@
       Supplier<FrameHandler> handlers,
       Metrics metrics,
       ThreadFactory threads,
-      int maxQueuedFrames) {
+      int maxQueuedFrames,
+      ConnectionLimits limits) {
     this.listener = listener;
     this.handlers = handlers;
     this.metrics = metrics;
     this.threads = threads;
     this.maxQueuedFrames = maxQueuedFrames;
+    this.limiter = ConnectionLimiter.of(limits);
     this.reports =
         ConnectionReports.create(
             limiter, "peer", metrics, line -> LOG.infof("event=connectionsClosed %s", line));
@@ -47,18 +49,21 @@
    * Opens a server.
    *
    * @param handlers supplies a handler for each new connection
+   * @param limits the limits on all connections
    */
   public static FrameServer open(
       String address,
       Supplier<FrameHandler> handlers,
       Metrics metrics,
       ThreadFactory threads,
-      int maxQueuedFrames)
+      int maxQueuedFrames,
+      ConnectionLimits limits)
       throws IOException {
     ServerSocket listener = new ServerSocket();
     listener.setReuseAddress(true);
     listener.bind(Addresses.toSocketAddress(address), BACKLOG);
-    FrameServer server = new FrameServer(listener, handlers, metrics, threads, maxQueuedFrames);
+    FrameServer server =
+        new FrameServer(listener, handlers, metrics, threads, maxQueuedFrames, limits);
     threads.newThread(server::acceptConnections).start();
     return server;
   }
--- a/daemon/src/test/java/io/hingehoist/client/ControlClientTest.java
+++ b/daemon/src/test/java/io/hingehoist/client/ControlClientTest.java
@@ -5,6 +5,7 @@
 
 import io.hingehoist.command.GetJob;
 import io.hingehoist.command.NoSuchJob;
+import io.hingehoist.limits.ConnectionLimits;
 import io.hingehoist.message.Bytes;
 import io.hingehoist.message.Hello;
 import io.hingehoist.message.Message;
@@ -40,7 +41,8 @@
     queryCount.set(0);
     String address = FreeAddresses.next();
     Metrics metrics = Metrics.create();
-    replica = FrameServer.open(address, this::handler, metrics, THREADS, 16);
+    replica =
+        FrameServer.open(address, this::handler, metrics, THREADS, 16, ConnectionLimits.ofPeers());
     Hello hello = new Hello(Role.ENTRY, "entry", 1, "", FrameConnection.PROTOCOL_VERSION);
     client = ControlClient.create(List.of(address), "127.0.0.1:1", hello, metrics, THREADS);
   }
--- a/daemon/src/test/java/io/hingehoist/quorum/FiveReplicasTest.java
+++ b/daemon/src/test/java/io/hingehoist/quorum/FiveReplicasTest.java
@@ -10,6 +10,7 @@
 import io.hingehoist.journal.Disk;
 import io.hingehoist.journal.Identity;
 import io.hingehoist.journal.Journal;
+import io.hingehoist.limits.ConnectionLimits;
 import io.hingehoist.message.Bytes;
 import io.hingehoist.message.Message;
 import io.hingehoist.message.QueryRequest;
@@ -137,6 +138,7 @@
                 node,
                 control,
                 Disk.real(),
+                ConnectionLimits.ofPeers(),
                 Metrics.create(),
                 Thread.ofVirtual().factory(),
                 Optional.empty(),
--- a/daemon/src/test/java/io/hingehoist/quorum/LargeDocumentTest.java
+++ b/daemon/src/test/java/io/hingehoist/quorum/LargeDocumentTest.java
@@ -5,6 +5,7 @@
 import io.hingehoist.adapter.OperatorCommands.Result;
 import io.hingehoist.journal.Disk;
 import io.hingehoist.journal.Journal;
+import io.hingehoist.limits.ConnectionLimits;
 import io.hingehoist.message.Announce;
 import io.hingehoist.message.Bytes;
 import io.hingehoist.message.Hello;
@@ -77,6 +78,7 @@
             ControlSection.from(
                 SettingsValues.of(ControlSection.SPECS, Map.of("listenAddress", address))),
             Disk.real(),
+            ConnectionLimits.ofPeers(),
             Metrics.create(),
             Thread.ofVirtual().factory(),
             Optional.empty(),
--- a/daemon/src/test/java/io/hingehoist/quorum/ManyLargeChangesTest.java
+++ b/daemon/src/test/java/io/hingehoist/quorum/ManyLargeChangesTest.java
@@ -6,6 +6,7 @@
 import io.hingehoist.adapter.OperatorCommands.Result;
 import io.hingehoist.journal.Disk;
 import io.hingehoist.journal.Journal;
+import io.hingehoist.limits.ConnectionLimits;
 import io.hingehoist.message.Bytes;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.net.EventLoop;
@@ -109,6 +110,7 @@
             SettingsValues.of(
                 ControlSection.SPECS, Map.of("listenAddress", address, "snapshotEntries", "500"))),
         Disk.real(),
+        ConnectionLimits.ofPeers(),
         Metrics.create(),
         Thread.ofVirtual().factory(),
         Optional.empty(),
--- a/daemon/src/test/java/io/hingehoist/wire/FrameConnectionTest.java
+++ b/daemon/src/test/java/io/hingehoist/wire/FrameConnectionTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.hingehoist.limits.ConnectionLimits;
 import io.hingehoist.message.CreditGrant;
 import io.hingehoist.message.Message;
 import io.hingehoist.metrics.Metrics;
@@ -33,7 +34,14 @@
     closed = new CountDownLatch(1);
     metrics = Metrics.create();
     address = FreeAddresses.next();
-    server = FrameServer.open(address, this::handler, metrics, Thread.ofVirtual().factory(), 16);
+    server =
+        FrameServer.open(
+            address,
+            this::handler,
+            metrics,
+            Thread.ofVirtual().factory(),
+            16,
+            ConnectionLimits.ofPeers());
   }
 
   @AfterMethod
--- a/daemon/src/test/java/io/hingehoist/wire/FrameServerTest.java
+++ b/daemon/src/test/java/io/hingehoist/wire/FrameServerTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import io.hingehoist.limits.ConnectionLimits;
 import io.hingehoist.message.Message;
 import io.hingehoist.metrics.Metrics;
 import java.io.IOException;
@@ -38,7 +39,8 @@
             },
             Metrics.create(),
             Thread.ofVirtual().factory(),
-            16));
+            16,
+            ConnectionLimits.ofPeers()));
     try (Socket socket = new Socket()) {
       socket.connect(Addresses.toSocketAddress(address));
       socket.setSoTimeout(READ_TIMEOUT_MS);
