The limits on connections follow from the descriptors that the box states

Callers saw: on a deployment of 95 boxes two of 14 owners had a configuration when traffic began, a confirmed change was not in force, and on one deployment nothing was served. Callers of an owner were closed at 68 connections.

Cause: the bounds were computed from /proc/self/limits. On the users' platform that limit is 200, the part of the descriptors that is for files outside the disk folder, while the box states 3,075 to 4,100 in its settings (limits.max-fds). So a control process allowed 51 connections of other processes, an owner 68 of callers; whoever came later was closed and came back at once. callers.maxDescriptors, which would have stated it, was capped by the system's limit, did not hold for connections of other processes, and was not set by the deploy file.

What is stated, in the settings or in the environment, goes before the system's limit, for callers and for other processes alike, at every role.

Evidence: connectionsClosed reason=connections connections=51 at all control processes; (200 - 64) * 0.375 = 51, (200 - 64) * 0.5 = 68.

--- a/daemon/src/main/java/io/hingehoist/limits/Descriptors.java
+++ b/daemon/src/main/java/io/hingehoist/limits/Descriptors.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Locale;
+import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -14,6 +15,7 @@
  * @param source where the number comes from
  */
 record Descriptors(int count, Source source) {
+  private static final String VARIABLE = "HINGEHOIST_MAX_DESCRIPTORS";
   private static final Path LIMITS = Path.of("/proc/self/limits");
   private static final Pattern OPEN_FILES = Pattern.compile("Max open files\\s+(\\d+)\\s.*");
 
@@ -24,6 +26,8 @@
   enum Source {
     /** The settings file. */
     SETTINGS,
+    /** The environment of the process. */
+    ENVIRONMENT,
     /** The limit of the operating system. */
     SYSTEM,
     /** Nothing states a number. */
@@ -41,10 +45,30 @@
    * @param stated the number that the settings file states; 0 if it states none
    */
   static Descriptors ofThisProcess(int stated) {
-    Descriptors ofSystem = ofSystem(LIMITS);
-    return stated > 0 && stated < ofSystem.count()
-        ? new Descriptors(stated, Source.SETTINGS)
-        : ofSystem;
+    return of(stated, System.getenv(), LIMITS);
+  }
+
+  /**
+   * Returns the limit that the box states for the process, or else the one of the system. The
+   * system's limit does not count where the box states one: it may cover only some of the
+   * descriptors.
+   */
+  static Descriptors of(int stated, Map<String, String> environment, Path limits) {
+    if (stated > 0) {
+      return new Descriptors(stated, Source.SETTINGS);
+    }
+    int inEnvironment = toPositiveInt(environment.getOrDefault(VARIABLE, ""));
+    return inEnvironment > 0
+        ? new Descriptors(inEnvironment, Source.ENVIRONMENT)
+        : ofSystem(limits);
+  }
+
+  private static int toPositiveInt(String text) {
+    try {
+      return Math.max(0, Integer.parseInt(text));
+    } catch (NumberFormatException e) {
+      return 0;
+    }
   }
 
   private static Descriptors ofSystem(Path limits) {
