A link whose connections are closed at once backs off

Cause: a process that was closed by one that has too many connections came back at once (FrameLink) or after 100 ms (PeerLink), for ever.

Change: both kinds of link wait between half of a delay and the delay, which doubles from 100 ms to 3.2 s with each connection that was open for less than a second. One that was open for longer is replaced at once, as before; a refused or timed out attempt is repeated after 100 ms, as before.

--- a/daemon/src/main/java/io/hingehoist/net/PeerChannel.java
+++ b/daemon/src/main/java/io/hingehoist/net/PeerChannel.java
@@ -40,7 +40,6 @@
   private final Queue<Runnable> pendingConfirmations = new ArrayDeque<>();
   private final long openedAtMs = EventLoop.nowMs();
   private long lastReceivedAtMs = openedAtMs;
-  private boolean received;
 
   private PeerChannel(Channel channel, Metrics metrics) {
     this.channel = channel;
@@ -80,9 +79,9 @@
     return lastReceivedAtMs - openedAtMs;
   }
 
-  /** Returns whether a frame was received. */
-  boolean hasReceived() {
-    return received;
+  /** Returns the time since the connection was opened. */
+  long openForMs() {
+    return EventLoop.nowMs() - openedAtMs;
   }
 
   @Override
@@ -165,7 +164,6 @@
       buffer.release();
       meter.ifPresent(m -> m.messageEnded(LENGTH_BYTES + body.length));
       lastReceivedAtMs = EventLoop.nowMs();
-      received = true;
       try {
         Message message = Message.fromBytes(Bytes.copyOf(body));
         metrics.countReceived(message, body.length);
--- a/daemon/src/main/java/io/hingehoist/net/PeerLink.java
+++ b/daemon/src/main/java/io/hingehoist/net/PeerLink.java
@@ -4,6 +4,7 @@
 import io.hingehoist.message.Message;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.wire.Addresses;
+import io.hingehoist.wire.ReconnectDelay;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
@@ -13,6 +14,7 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.Random;
 import java.util.function.Supplier;
 
 /**
@@ -21,7 +23,6 @@
  */
 public final class PeerLink implements AutoCloseable {
   private static final int CONNECT_TIMEOUT_MS = 400;
-  private static final long RETRY_DELAY_MS = 100;
 
   /**
    * The limit of the factor of the silence timeout, which doubles after each connection that fell
@@ -42,6 +43,7 @@
   private final Supplier<Hello> hello;
   private final PeerHandler handler;
   private final Metrics metrics;
+  private final ReconnectDelay reconnectDelay = ReconnectDelay.create(new Random());
   private final SilenceDetector silenceDetector = SilenceDetector.create(EventLoop.nowMs());
   private long silenceTimeoutMs;
   private int timeoutFactor = 1;
@@ -168,13 +170,13 @@
       handler.onRefused();
     }
     if (current.isEmpty()) {
-      retryLater();
+      retryAfter(ReconnectDelay.RETRY_DELAY_MS);
     }
   }
 
-  private void retryLater() {
+  private void retryAfter(long delayMs) {
     if (!closed) {
-      loop.schedule(this::connectIfClosed, RETRY_DELAY_MS);
+      loop.schedule(this::connectIfClosed, delayMs);
     }
   }
 
@@ -222,12 +224,7 @@
       }
       current = Optional.empty();
       handler.onClosed(channel);
-      // A peer that sent something is probably still alive; one that ended refuses the connection.
-      if (channel.hasReceived()) {
-        loop.execute(PeerLink.this::connectIfClosed);
-      } else {
-        retryLater();
-      }
+      retryAfter(reconnectDelay.afterClose(channel.openForMs()));
     }
 
     private boolean isCurrent(PeerChannel channel) {
--- a/daemon/src/main/java/io/hingehoist/wire/FrameLink.java
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameLink.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
@@ -21,7 +22,6 @@
  */
 public final class FrameLink implements AutoCloseable {
   private static final int CONNECT_TIMEOUT_MS = 400;
-  private static final long RETRY_DELAY_MS = 100;
   private static final long CHECK_INTERVAL_MS = 500;
 
   /**
@@ -45,6 +45,8 @@
   private final int maxQueuedFrames;
   private final AtomicReference<FrameConnection> current = new AtomicReference<>();
   private final Thread connector;
+  private final ReconnectDelay reconnectDelay = ReconnectDelay.create(new Random());
+  private long openedAtMs;
   private volatile boolean closed;
 
   private FrameLink(
@@ -93,14 +95,23 @@
   private void keepConnected() {
     while (!closed) {
       FrameConnection connection = current.get();
-      boolean open = connection != null && connection.isOpen();
-      if (open) {
+      if (connection == null) {
+        connect();
+      } else if (connection.isOpen()) {
         checkSilence(connection);
+        // This thread is unparked when the connection breaks.
+        LockSupport.parkNanos(CHECK_INTERVAL_MS * 1_000_000);
       } else {
-        connect();
+        current.set(null);
+        awaitDelay(reconnectDelay.afterClose(FrameConnection.nowMs() - openedAtMs));
       }
-      // This thread is unparked when the connection breaks.
-      LockSupport.parkNanos((open ? CHECK_INTERVAL_MS : RETRY_DELAY_MS) * 1_000_000);
+    }
+  }
+
+  private void awaitDelay(long delayMs) {
+    long endMs = FrameConnection.nowMs() + delayMs;
+    for (long leftMs = delayMs; leftMs > 0 && !closed; leftMs = endMs - FrameConnection.nowMs()) {
+      LockSupport.parkNanos(leftMs * 1_000_000);
     }
   }
 
@@ -119,12 +130,14 @@
       FrameConnection connection =
           FrameConnection.start(socket, unparkingHandler(), metrics, threads, maxQueuedFrames);
       connection.send(hello);
+      openedAtMs = FrameConnection.nowMs();
       current.set(connection);
       if (closed) {
         connection.close();
       }
     } catch (IOException e) {
       // The peer is not reachable; keepConnected() retries.
+      awaitDelay(ReconnectDelay.RETRY_DELAY_MS);
     }
   }
 
--- a/daemon/src/test/java/io/hingehoist/net/PeerLinkTest.java
+++ b/daemon/src/test/java/io/hingehoist/net/PeerLinkTest.java
@@ -26,6 +26,10 @@
 public final class PeerLinkTest {
   private static final long SILENCE_TIMEOUT_MS = 1_300;
   private static final long TICK_MS = 50;
+  private static final int CLOSED_CONNECTIONS = 6;
+
+  /** Half of the sum of 100, 200, 400, 800 and 1,600 ms. */
+  private static final long MIN_DELAYS_MS = 1_550;
 
   /** On loopback, another connection would open within a few milliseconds. */
   private static final long NO_CONNECTION_WITHIN_MS = 300;
@@ -119,6 +123,20 @@
     loop.execute(link::close);
   }
 
+  /** Links whose connections were closed at once kept a full server busy with new ones. */
+  @Test
+  public void aLinkWhoseConnectionsAreClosedAtOnceBacksOff() throws Exception {
+    long startMs = EventLoop.nowMs();
+    PeerLink link = openLink();
+    for (int i = 0; i < CLOSED_CONNECTIONS; i++) {
+      PeerChannel channel = accepted.poll(10, TimeUnit.SECONDS);
+      loop.execute(channel::close);
+    }
+    long elapsedMs = EventLoop.nowMs() - startMs;
+    assertTrue(elapsedMs >= MIN_DELAYS_MS, elapsedMs + " ms");
+    loop.execute(link::close);
+  }
+
   @Test
   public void replacesASilentConnection() throws Exception {
     PeerLink link = openLink();
--- a/daemon/src/test/java/io/hingehoist/wire/FrameLinkTest.java
+++ b/daemon/src/test/java/io/hingehoist/wire/FrameLinkTest.java
@@ -22,6 +22,10 @@
 public final class FrameLinkTest {
   private static final Hello HELLO = new Hello(Role.CONTROL, "r", 0, "", 1);
   private static final int TIMEOUT_SECONDS = 20;
+  private static final int CLOSED_CONNECTIONS = 6;
+
+  /** Half of the sum of 100, 200, 400, 800 and 1,600 ms. */
+  private static final long MIN_DELAYS_MS = 1_550;
 
   private static final FrameHandler IGNORING_HANDLER =
       new FrameHandler() {
@@ -58,6 +62,21 @@
     }
   }
 
+  /** Links whose connections were closed at once kept a full server busy with new ones. */
+  @Test
+  public void aLinkWhoseConnectionsAreClosedAtOnceBacksOff() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 2, InetAddress.getLoopbackAddress());
+        FrameLink link = linkTo(server)) {
+      server.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
+      long startNanos = System.nanoTime();
+      for (int i = 0; i < CLOSED_CONNECTIONS; i++) {
+        server.accept().close();
+      }
+      long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+      assertTrue(elapsedMs >= MIN_DELAYS_MS, link.address() + ": " + elapsedMs + " ms");
+    }
+  }
+
   private static FrameHandler countDownOnClose(CountDownLatch closed) {
     return new FrameHandler() {
       @Override
