A member's superseded connection gives way first

Cause (found by looking for the same class of fault elsewhere): a connection of another process that had sent a frame never gave way. One that falls silent without a reset is replaced by its member, and stays at the server, where nothing closes it. A series of silences fills the limit with such connections, and then no member can connect any more: at 95 boxes after ten silences of all of them at a control process, after eight at an owner.

Change: the first frame names the process. If there are too many connections, the one whose member has a newer one gives way first, then the oldest that never sent a frame. A member never gives way to another; the newcomer is refused, and backs off.

--- a/daemon/src/main/java/io/hingehoist/limits/ConnectionLimiter.java
+++ b/daemon/src/main/java/io/hingehoist/limits/ConnectionLimiter.java
@@ -1,10 +1,12 @@
 package io.hingehoist.limits;
 
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -17,8 +19,9 @@
  *
  * <p>If the connections hold too much memory, those give way first whose requests are not complete,
  * and among them the one that holds most; a small request finds room while large unfinished ones
- * are refused. A request in progress never gives way. If there are too many connections, the oldest
- * gives way that has never sent a complete request, or else the one that is idle for longest.
+ * are refused. A request in progress never gives way. If there are too many connections, one gives
+ * way whose member has a newer one, or else the oldest that has never sent a complete request, or
+ * else the one that is idle for longest. The connection of a member never gives way to another's.
  */
 public final class ConnectionLimiter {
   private static final Comparator<LimitedConnection> GIVES_WAY_FIRST =
@@ -31,6 +34,12 @@
   /** The connections that were refused and not yet closed, the oldest first. */
   private final Set<LimitedConnection> refused = new LinkedHashSet<>();
 
+  /** The newest connection of each member of the deployment. */
+  private final Map<String, LimitedConnection> byMember = new HashMap<>();
+
+  /** The connections of members that have a newer one, the oldest first. */
+  private final Set<LimitedConnection> superseded = new LinkedHashSet<>();
+
   /** The connections that never sent a complete request, the oldest first. */
   private final Set<LimitedConnection> unproven = new LinkedHashSet<>();
 
@@ -86,7 +95,7 @@
 
   private boolean makeRoom() {
     Optional<LimitedConnection> first =
-        Stream.of(refused, unproven, idle)
+        Stream.of(refused, superseded, unproven, idle)
             .map(Set::iterator)
             .filter(Iterator::hasNext)
             .map(Iterator::next)
@@ -104,8 +113,26 @@
     if (all.remove(connection)) {
       heldBytes -= connection.heldBytes();
       refused.remove(connection);
+      superseded.remove(connection);
       unproven.remove(connection);
       idle.remove(connection);
+      byMember.values().remove(connection);
+    }
+  }
+
+  /**
+   * Records which member of the deployment a connection belongs to. An older connection of the same
+   * member may have fallen silent without being closed.
+   *
+   * @param member the name of the member, which its connections have in common
+   */
+  public void recordMember(LimitedConnection connection, String member) {
+    if (!all.contains(connection)) {
+      return;
+    }
+    LimitedConnection older = byMember.put(member, connection);
+    if (older != null && older != connection) {
+      superseded.add(older);
     }
   }
 
--- a/daemon/src/main/java/io/hingehoist/net/MessageMeter.java
+++ b/daemon/src/main/java/io/hingehoist/net/MessageMeter.java
@@ -3,6 +3,7 @@
 import io.hingehoist.limits.CloseReason;
 import io.hingehoist.limits.ConnectionLimiter;
 import io.hingehoist.limits.LimitedConnection;
+import io.hingehoist.message.Hello;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -39,6 +40,11 @@
     hold(Math.max(0, heldBytes - messageBytes));
   }
 
+  /** Records which process the connection belongs to. */
+  void recordMember(Hello hello) {
+    limiter.recordMember(this, hello.role() + " " + hello.nodeId());
+  }
+
   private void hold(long bytes) {
     limiter.recordHeld(this, bytes - heldBytes);
     heldBytes = bytes;
--- a/daemon/src/main/java/io/hingehoist/net/PeerChannel.java
+++ b/daemon/src/main/java/io/hingehoist/net/PeerChannel.java
@@ -1,6 +1,7 @@
 package io.hingehoist.net;
 
 import io.hingehoist.message.Bytes;
+import io.hingehoist.message.Hello;
 import io.hingehoist.message.KeepAlive;
 import io.hingehoist.message.Message;
 import io.hingehoist.metrics.Metrics;
@@ -167,6 +168,9 @@
       try {
         Message message = Message.fromBytes(Bytes.copyOf(body));
         metrics.countReceived(message, body.length);
+        if (message instanceof Hello hello) {
+          meter.ifPresent(m -> m.recordMember(hello));
+        }
         reportingErrors(() -> handleMessage(message));
       } catch (IOException e) {
         metrics.countBadFrame();
--- a/daemon/src/main/java/io/hingehoist/wire/FrameConnection.java
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameConnection.java
@@ -2,6 +2,7 @@
 
 import io.hingehoist.limits.BodyBuffer;
 import io.hingehoist.message.Bytes;
+import io.hingehoist.message.Hello;
 import io.hingehoist.message.KeepAlive;
 import io.hingehoist.message.Message;
 import io.hingehoist.metrics.Metrics;
@@ -150,6 +151,9 @@
     memory.frameEnded();
     lastReceivedAtMs = nowMs();
     metrics.countReceived(message, length);
+    if (message instanceof Hello hello) {
+      memory.memberKnown(hello);
+    }
     if (message instanceof KeepAlive keepAlive) {
       answerKeepAlive(keepAlive);
     } else {
--- a/daemon/src/main/java/io/hingehoist/wire/FrameMemory.java
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameMemory.java
@@ -1,5 +1,7 @@
 package io.hingehoist.wire;
 
+import io.hingehoist.message.Hello;
+
 /** Accounts for the frame that a connection is receiving. Called on its reader thread. */
 interface FrameMemory {
   /** Does not limit a connection. */
@@ -11,6 +13,9 @@
         @Override
         public void frameEnded() {}
 
+        @Override
+        public void memberKnown(Hello hello) {}
+
         @Override
         public void connectionClosed() {}
       };
@@ -27,6 +32,9 @@
   /** Records that the frame is complete. */
   void frameEnded();
 
+  /** Records which process the connection belongs to. */
+  void memberKnown(Hello hello);
+
   /** Records that the connection has closed. */
   void connectionClosed();
 }
--- a/daemon/src/main/java/io/hingehoist/wire/LimitedFrames.java
+++ b/daemon/src/main/java/io/hingehoist/wire/LimitedFrames.java
@@ -3,6 +3,7 @@
 import io.hingehoist.limits.CloseReason;
 import io.hingehoist.limits.ConnectionLimiter;
 import io.hingehoist.limits.LimitedConnection;
+import io.hingehoist.message.Hello;
 
 /**
  * The account of a connection that another process has opened. Guarded by the monitor of its
@@ -41,6 +42,13 @@
     }
   }
 
+  @Override
+  public void memberKnown(Hello hello) {
+    synchronized (limiter) {
+      limiter.recordMember(this, hello.role() + " " + hello.nodeId());
+    }
+  }
+
   @Override
   public void connectionClosed() {
     synchronized (limiter) {
