A process reports when its deployment needs more connections than it allows

Nothing told an operator that a control process which allows 51 connections serves a deployment of 95 boxes. The directory, which fills within a second of a start, says how many processes connect to this one: all others at a control process, hosts at an owner, owners at a host. When that number comes to exceed the limit, a line is written (connectionLimitBelowNeed), and the gauge hingehoist_peer_connections_needed stands beside hingehoist_peer_connections_limit.

Test: ConnectionLimiterTest.aDeploymentThatNeedsMoreConnectionsIsReported (new metric and line; nothing to fail before). Deployments with a list of control addresses instead of a directory do not report it yet.

--- a/daemon/src/main/java/io/hingehoist/daemon/AdapterProcess.java
+++ b/daemon/src/main/java/io/hingehoist/daemon/AdapterProcess.java
@@ -64,7 +64,7 @@
     String node = settings.node().nodeId();
     limits.report(metrics);
     log.write("processLimits", node, limits.describe());
-    loop.logClosedConnections(line -> log.write("connectionsClosed", node, line));
+    loop.logConnections((event, outcome) -> log.write(event, node, outcome));
     loop.reportConnections(metrics);
   }
 
--- a/daemon/src/main/java/io/hingehoist/entry/CallerConnections.java
+++ b/daemon/src/main/java/io/hingehoist/entry/CallerConnections.java
@@ -40,7 +40,10 @@
     ConnectionLimiter limiter = ConnectionLimiter.of(limits);
     ConnectionReports reports =
         ConnectionReports.create(
-            limiter, "caller", metrics, line -> LOG.infof("event=connectionsClosed %s", line));
+            limiter,
+            "caller",
+            metrics,
+            (event, outcome) -> LOG.infof("event=%s %s", event, outcome));
     CallerConnections connections = new CallerConnections(limiter, reports, server.getThreadPool());
     server.addBeanToAllConnectors(connections);
     return connections;
--- a/daemon/src/main/java/io/hingehoist/host/HostNode.java
+++ b/daemon/src/main/java/io/hingehoist/host/HostNode.java
@@ -323,6 +323,7 @@
     @Override
     public void onDirectory(PeerDirectory directory) {
       owners.setOwners(directory.peers(Role.ENTRY));
+      peers.recordNeeded(directory.peers(Role.ENTRY).size());
     }
 
     @Override
--- a/daemon/src/main/java/io/hingehoist/limits/ConnectionReports.java
+++ b/daemon/src/main/java/io/hingehoist/limits/ConnectionReports.java
@@ -3,7 +3,7 @@
 import io.hingehoist.metrics.Metrics;
 import java.util.EnumMap;
 import java.util.Map;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import java.util.function.DoubleSupplier;
 
 /**
@@ -17,12 +17,13 @@
   private final ConnectionLimiter limiter;
   private final String group;
   private final Metrics metrics;
-  private final Consumer<String> lines;
+  private final BiConsumer<String, String> lines;
   private final Map<CloseReason, Long> unreported = new EnumMap<>(CloseReason.class);
   private long loggedAtMs = -LOG_INTERVAL_MS;
+  private volatile int needed;
 
   private ConnectionReports(
-      ConnectionLimiter limiter, String group, Metrics metrics, Consumer<String> lines) {
+      ConnectionLimiter limiter, String group, Metrics metrics, BiConsumer<String, String> lines) {
     this.limiter = limiter;
     this.group = group;
     this.metrics = metrics;
@@ -33,10 +34,10 @@
    * Creates the reports on a limiter and registers its gauges.
    *
    * @param group the group of connections, as in the names of metrics: caller or peer
-   * @param lines receives the log lines
+   * @param lines receives the event and the outcome of each log line
    */
   public static ConnectionReports create(
-      ConnectionLimiter limiter, String group, Metrics metrics, Consumer<String> lines) {
+      ConnectionLimiter limiter, String group, Metrics metrics, BiConsumer<String, String> lines) {
     ConnectionReports reports = new ConnectionReports(limiter, group, metrics, lines);
     limiter.onClosed(reports::count);
     ConnectionLimits limits = limiter.limits();
@@ -55,6 +56,10 @@
         prefix + "_held_bytes_limit",
         "Maximum memory for what was received and not handled, or not read.",
         limits::maxHeldBytes);
+    metrics.addGauge(
+        prefix + "_connections_needed",
+        "Connections that the known processes of the deployment open.",
+        () -> reports.needed);
     return reports;
   }
 
@@ -66,6 +71,22 @@
     };
   }
 
+  /**
+   * Records how many connections the known processes of the deployment open, and writes a line when
+   * that number comes to exceed the limit, or no longer does.
+   */
+  public void recordNeeded(int connections) {
+    int limit = limiter.limits().maxConnections();
+    boolean exceeded = connections > limit;
+    boolean changed = exceeded != needed > limit;
+    needed = connections;
+    if (changed) {
+      lines.accept(
+          exceeded ? "connectionLimitBelowNeed" : "connectionLimitSufficient",
+          "group=%s needed=%d maxConnections=%d".formatted(group, connections, limit));
+    }
+  }
+
   private void count(CloseReason reason) {
     metrics.countClosedConnection(group, reason.label());
     unreported.merge(reason, 1L, Long::sum);
@@ -83,6 +104,7 @@
 
   private void write(CloseReason reason, long count) {
     lines.accept(
+        "connectionsClosed",
         "group=%s reason=%s count=%d connections=%d heldBytes=%d"
             .formatted(group, reason.label(), count, limiter.connections(), limiter.heldBytes()));
   }
--- a/daemon/src/main/java/io/hingehoist/net/EventLoop.java
+++ b/daemon/src/main/java/io/hingehoist/net/EventLoop.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /**
@@ -30,7 +31,7 @@
   private final ConnectionLimits peers;
   private final List<ConnectionReports> reports = new ArrayList<>();
   private final ReadTurns readTurns = ReadTurns.create(this);
-  private volatile Consumer<String> closedConnectionLines = line -> {};
+  private volatile BiConsumer<String, String> connectionLines = (event, outcome) -> {};
 
   private EventLoop(
       Consumer<Throwable> onFatalError,
@@ -87,9 +88,13 @@
     reports.forEach(report -> report.writeDue(nowMs));
   }
 
-  /** Sets where log lines about connections that were closed before their time are written. */
-  public void logClosedConnections(Consumer<String> lines) {
-    closedConnectionLines = lines;
+  /**
+   * Sets where log lines about limits on connections are written.
+   *
+   * @param lines receives the event and the outcome of each line
+   */
+  public void logConnections(BiConsumer<String, String> lines) {
+    connectionLines = lines;
   }
 
   /** Reports the limits on the connections of callers and of workers. */
@@ -99,11 +104,12 @@
   }
 
   /** Reports the limits on a group of connections, and what is closed because of them. */
-  void report(ConnectionLimiter limiter, String group, Metrics metrics) {
+  ConnectionReports report(ConnectionLimiter limiter, String group, Metrics metrics) {
     ConnectionReports created =
         ConnectionReports.create(
-            limiter, group, metrics, line -> closedConnectionLines.accept(line));
+            limiter, group, metrics, (event, outcome) -> connectionLines.accept(event, outcome));
     execute(() -> reports.add(created));
+    return created;
   }
 
   /** Returns the turns of connections whose reads take long to decode. */
--- a/daemon/src/main/java/io/hingehoist/net/PeerServer.java
+++ b/daemon/src/main/java/io/hingehoist/net/PeerServer.java
@@ -1,6 +1,7 @@
 package io.hingehoist.net;
 
 import io.hingehoist.limits.ConnectionLimiter;
+import io.hingehoist.limits.ConnectionReports;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.wire.Addresses;
 import io.netty.bootstrap.ServerBootstrap;
@@ -16,9 +17,11 @@
   private static final int BACKLOG = 1_024;
 
   private final Channel listener;
+  private final ConnectionReports reports;
 
-  private PeerServer(Channel listener) {
+  private PeerServer(Channel listener, ConnectionReports reports) {
     this.listener = listener;
+    this.reports = reports;
   }
 
   /**
@@ -31,7 +34,7 @@
       EventLoop loop, String address, Supplier<PeerHandler> handlers, Metrics metrics)
       throws IOException {
     ConnectionLimiter limiter = ConnectionLimiter.of(loop.peers());
-    loop.report(limiter, "peer", metrics);
+    ConnectionReports reports = loop.report(limiter, "peer", metrics);
     ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(loop.group())
@@ -46,7 +49,12 @@
                     PeerChannel.install(channel, handlers.get(), metrics, loop);
                   }
                 });
-    return new PeerServer(Listeners.bind(bootstrap, Addresses.toSocketAddress(address)));
+    return new PeerServer(Listeners.bind(bootstrap, Addresses.toSocketAddress(address)), reports);
+  }
+
+  /** Records how many connections the known processes of the deployment open to this server. */
+  public void recordNeeded(int connections) {
+    reports.recordNeeded(connections);
   }
 
   @Override
--- a/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
+++ b/daemon/src/main/java/io/hingehoist/owner/HostSessions.java
@@ -176,6 +176,11 @@
     this.server = PeerServer.open(loop, bindAddress, HostHandler::new, metrics);
   }
 
+  /** Records how many hosts of the deployment connect to this owner. */
+  void recordNeeded(int connections) {
+    server.recordNeeded(connections);
+  }
+
   /**
    * Sends a message on a session's connection. A message with guaranteed delivery is kept, and sent
    * again on the session's next connection until it is acknowledged.
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -407,7 +407,9 @@
 
   private final class ControlListener implements ControlLinks.Listener {
     @Override
-    public void onDirectory(PeerDirectory directory) {}
+    public void onDirectory(PeerDirectory directory) {
+      hosts.recordNeeded(directory.peers(Role.AGENT).size());
+    }
 
     @Override
     public void onNotice(String address, DocumentNotice notice) {
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -531,6 +531,7 @@
               links.reconnectSilent(nowMs);
               discovery.controlAddresses().forEach(address -> links.open(address, nowMs));
               replica.updateKnownAddresses(links.addresses());
+              server.recordNeeded(discovery.peerCount());
             });
   }
 
--- a/daemon/src/main/java/io/hingehoist/quorum/Discovery.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/Discovery.java
@@ -85,6 +85,12 @@
     return directory.peers(Role.CONTROL).stream().map(Peer::address).toList();
   }
 
+  /** Returns the number of known processes besides this one. */
+  int peerCount() {
+    return (int)
+        directory.peers().stream().filter(peer -> !peer.address().equals(self.address())).count();
+  }
+
   /** Notifies followers of the committed version of a document. */
   void publish(DocumentRow row) {
     followers.forEach((follower, role) -> send(row, follower, role));
--- a/daemon/src/main/java/io/hingehoist/wire/FrameServer.java
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameServer.java
@@ -42,7 +42,7 @@
     this.limiter = ConnectionLimiter.of(limits);
     this.reports =
         ConnectionReports.create(
-            limiter, "peer", metrics, line -> LOG.infof("event=connectionsClosed %s", line));
+            limiter, "peer", metrics, (event, outcome) -> LOG.infof("event=%s %s", event, outcome));
   }
 
   /**
@@ -94,6 +94,13 @@
     }
   }
 
+  /** Records how many connections the known processes of the deployment open to this server. */
+  public void recordNeeded(int connections) {
+    synchronized (limiter) {
+      reports.recordNeeded(connections);
+    }
+  }
+
   private void addConnection(FrameConnection connection) {
     connections.add(connection);
     // A connection accepted while the server closes would stay open, without a process behind it.
--- a/daemon/src/test/java/io/hingehoist/limits/ConnectionLimiterTest.java
+++ b/daemon/src/test/java/io/hingehoist/limits/ConnectionLimiterTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.hingehoist.metrics.Metrics;
 import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.BeforeMethod;
@@ -96,4 +97,25 @@
     connect("c");
     assertEquals(closed, List.of(unknown));
   }
+
+  /** No log line or metric said that a deployment needs more connections than a process allows. */
+  @Test
+  public void aDeploymentThatNeedsMoreConnectionsIsReported() {
+    List<String> lines = new ArrayList<>();
+    ConnectionReports reports =
+        ConnectionReports.create(
+            limiter,
+            "peer",
+            Metrics.create(),
+            (event, outcome) -> lines.add(event + " " + outcome));
+    reports.recordNeeded(MAX_CONNECTIONS);
+    reports.recordNeeded(MAX_CONNECTIONS + 1);
+    reports.recordNeeded(MAX_CONNECTIONS + 2);
+    reports.recordNeeded(MAX_CONNECTIONS);
+    assertEquals(
+        lines,
+        List.of(
+            "connectionLimitBelowNeed group=peer needed=4 maxConnections=3",
+            "connectionLimitSufficient group=peer needed=3 maxConnections=3"));
+  }
 }
