Two replicas may be lost from the first second on

Cause: the cluster was founded by one replica, the one at the first seed, once all five had told it that they are blank. It could not tell a replica that was never there from one that lost its disk later, and a majority of any three could have been followed by another one.

The first entry has five seats, of which those of unknown replicas are vacant. Vacant seats count in every majority, so what is accepted is on three disks from the first entry on; a replica of the first start without a seat may vote for a vacant one, as giving it that seat doesn't change who may vote. Before anybody else takes a seat, vacant ones are retired by a quorum of seated voters (found by a test: retired while two founders had just lost their disks, they left one of three). Replicas that were killed before that block was written found as before, all five together, but by votes too.

Tests: FoundingTest with the old founding: 22 of its cases fail (two dark boxes, each pair; two founders that lose their disks before the others are back, each pair; a split core; a replacement). FiveReplicasTest (replicas over sockets), JournalTest, InterruptedJournalTest pass.

--- a/core/src/main/java/io/hingehoist/replication/BlankReplicas.java
+++ b/core/src/main/java/io/hingehoist/replication/BlankReplicas.java
@@ -12,9 +12,9 @@
  * The replicas that hold no entries, as far as a blank replica has heard, from which it can found a
  * cluster. Not thread-safe: confined to the control thread.
  *
- * <p>A cluster accepts nothing before it has {@code voterCount} voters, twice the number of disks
- * that may be lost at once and one more. So while any entry must be kept, fewer replicas than that
- * are blank.
+ * <p>What a cluster accepts is on the disks of a majority of {@code voterCount} replicas, and fewer
+ * disks than that majority may be lost at once. So while any entry must be kept, fewer than {@code
+ * voterCount} replicas are blank.
  */
 final class BlankReplicas {
   private record Heard(ReplicaInfo replica, long atMs) {}
--- a/core/src/main/java/io/hingehoist/replication/Leadership.java
+++ b/core/src/main/java/io/hingehoist/replication/Leadership.java
@@ -177,7 +177,9 @@
     }
     long learnerTimeoutMs = 10 * timing.electionTimeoutMs();
     learners.values().removeIf(p -> nowMs - p.lastAckAtMs > learnerTimeoutMs);
-    voters.values().forEach(p -> sendDue(p, nowMs, effects));
+    voters.values().stream()
+        .filter(p -> !p.address.isEmpty())
+        .forEach(p -> sendDue(p, nowMs, effects));
     learners.values().forEach(p -> sendDue(p, nowMs, effects));
     roundRequested = false;
   }
@@ -278,8 +280,8 @@
 
   /**
    * Returns the next change of voters that is due, of one voter at a time. If a learner has caught
-   * up, this removes an unreachable voter at the learner's address, adds the learner if voters are
-   * missing, or removes the voter that has been silent for longest.
+   * up, this retires vacant seats, removes an unreachable voter at the learner's address, adds the
+   * learner if voters are missing, or removes the voter that has been silent for longest.
    */
   Optional<ReplicaSet> dueVoterChange(int voterCount, long nowMs) {
     boolean mayChangeVoters =
@@ -302,6 +304,11 @@
   }
 
   private Optional<ReplicaSet> voterChangeFor(Progress learner, int voterCount, long nowMs) {
+    if (Seats.vacantCount(log.voters()) > 0) {
+      return isQuorumSeated(nowMs)
+          ? Optional.of(Seats.retireVacant(log.voters()))
+          : Optional.empty();
+    }
     List<ReplicaInfo> nextVoters = new ArrayList<>(log.voters().voters());
     Optional<Progress> voterAtAddress =
         voters.values().stream().filter(p -> p.address.equals(learner.address)).findFirst();
@@ -321,17 +328,34 @@
   }
 
   /**
-   * Returns the voters without the one that has been silent for longest, to make room for a
-   * learner; empty if no voter has timed out.
+   * Returns whether the voters with a seat of their own are a quorum, without those whose disk was
+   * lost. Otherwise the replicas that may take the vacant seats are needed.
+   */
+  private boolean isQuorumSeated(long nowMs) {
+    long seated =
+        voters.values().stream()
+            .filter(p -> !p.address.isEmpty())
+            .filter(p -> nowMs - p.lastAckAtMs < timing.electionTimeoutMs())
+            .filter(p -> learners.values().stream().noneMatch(l -> l.address.equals(p.address)))
+            .count();
+    return seated + selfCount() >= quorumSize();
+  }
+
+  /**
+   * Returns the voters without a retired seat, or without the voter that has been silent for
+   * longest, to make room for a learner; empty if no voter has timed out.
    */
   private Optional<ReplicaSet> removeSilentVoter(List<ReplicaInfo> nextVoters, long nowMs) {
     Optional<Progress> longestSilent =
         voters.values().stream()
             .filter(
                 p ->
-                    nowMs - p.lastAckAtMs
-                        >= VOTER_REPLACEMENT_TIMEOUTS * timing.electionTimeoutMs())
-            .min(Comparator.comparingLong(p -> p.lastAckAtMs));
+                    p.address.isEmpty()
+                        || nowMs - p.lastAckAtMs
+                            >= VOTER_REPLACEMENT_TIMEOUTS * timing.electionTimeoutMs())
+            .min(
+                Comparator.comparing((Progress p) -> !p.address.isEmpty())
+                    .thenComparingLong(p -> p.lastAckAtMs));
     if (longestSilent.isEmpty()) {
       return Optional.empty();
     }
--- a/core/src/main/java/io/hingehoist/replication/Membership.java
+++ b/core/src/main/java/io/hingehoist/replication/Membership.java
@@ -12,6 +12,8 @@
  * @param voterCount the intended number of voters
  * @param mayFound whether this replica founds the cluster once {@code voterCount} replicas are
  *     blank; at most one replica of a deployment may
+ * @param foundingId the id of the cluster that the replicas of the first start found; the same for
+ *     all of them, and empty for a replica whose disk is not of the first start
  */
 public record Membership(
     String replicaId,
@@ -19,7 +21,8 @@
     String clusterId,
     List<String> knownAddresses,
     int voterCount,
-    boolean mayFound) {
+    boolean mayFound,
+    String foundingId) {
 
   /** Checks that there is an identity; copies the addresses. */
   public Membership {
--- a/core/src/main/java/io/hingehoist/replication/Replica.java
+++ b/core/src/main/java/io/hingehoist/replication/Replica.java
@@ -7,6 +7,7 @@
 import io.hingehoist.message.JoinRequest;
 import io.hingehoist.message.LogEntry;
 import io.hingehoist.message.Message;
+import io.hingehoist.message.OriginalReplica;
 import io.hingehoist.message.ReplicaInfo;
 import io.hingehoist.message.ReplicaSet;
 import io.hingehoist.message.SnapshotAck;
@@ -18,7 +19,10 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
@@ -50,6 +54,11 @@
   private final String address;
   private final int voterCount;
   private final boolean mayFound;
+  private final String foundingId;
+
+  /** The replicas of the first start that this one has heard of, by id. */
+  private final Map<String, OriginalReplica> originals = new LinkedHashMap<>();
+
   private final BlankReplicas blankReplicas = new BlankReplicas();
   private final ReplicaTiming timing;
   private final LogLimits limits;
@@ -87,6 +96,10 @@
     this.knownAddresses = membership.knownAddresses();
     this.voterCount = membership.voterCount();
     this.mayFound = membership.mayFound();
+    this.foundingId = membership.foundingId();
+    if (!foundingId.isEmpty()) {
+      originals.put(id, statement());
+    }
     this.timing = timing;
     this.limits = limits;
     this.random = random;
@@ -112,10 +125,7 @@
 
   /** Returns the first entry of a new cluster: a configuration with one voter. */
   public static LogEntry foundingEntry(String replicaId, String address, long stampedAtMs) {
-    return foundingEntry(new ReplicaSet(List.of(new ReplicaInfo(replicaId, address))), stampedAtMs);
-  }
-
-  private static LogEntry foundingEntry(ReplicaSet voters, long stampedAtMs) {
+    ReplicaSet voters = new ReplicaSet(List.of(new ReplicaInfo(replicaId, address)));
     Bytes body = ReplicatedLog.encodeVoters(voters);
     return new LogEntry(1, 1, EntryKind.CONFIGURATION, stampedAtMs, body);
   }
@@ -162,13 +172,10 @@
       tickAsLeader(leadership.get(), nowMs);
       return;
     }
-    if (mayFound && isBlank()) {
-      foundIfAllBlank(nowMs);
-    }
     if (nowMs < electionDeadlineAtMs) {
       return;
     }
-    if (isVoter()) {
+    if (mayCampaign(nowMs)) {
       campaign(true, nowMs);
     } else {
       resetElectionTimer(nowMs);
@@ -181,6 +188,9 @@
       becomeFollower(term, "", nowMs);
       return;
     }
+    if (fillVacantSeats()) {
+      leading.refreshVoters(nowMs);
+    }
     leading
         .dueVoterChange(voterCount, nowMs)
         .ifPresent(
@@ -190,27 +200,61 @@
             });
   }
 
-  /**
-   * Founds a cluster with all of its voters at once, so that it survives the loss of as many as the
-   * deployment tolerates from its first entry on.
-   */
-  private void foundIfAllBlank(long nowMs) {
+  private boolean mayCampaign(long nowMs) {
+    if (isBlank()) {
+      return isOriginal() || (mayFound && blankVoters(nowMs).isPresent());
+    }
+    return isVoter() || (isOriginal() && Seats.vacantCount(log.voters()) > 0);
+  }
+
+  /** Returns whether this replica's disk dates from the first start of the deployment. */
+  private boolean isOriginal() {
+    return !foundingId.isEmpty();
+  }
+
+  private OriginalReplica statement() {
+    return new OriginalReplica(id, address, foundingId);
+  }
+
+  /** Returns the voters of a new cluster if as many replicas as it needs are blank. */
+  private Optional<ReplicaSet> blankVoters(long nowMs) {
     long oldestMs = nowMs - BLANK_TIMEOUTS * timing.electionTimeoutMs();
-    blankReplicas
-        .newVoters(new ReplicaInfo(id, address), voterCount, oldestMs)
-        .ifPresent(voters -> found(voters, nowMs));
+    return blankReplicas.newVoters(new ReplicaInfo(id, address), voterCount, oldestMs);
   }
 
-  private void found(ReplicaSet voters, long nowMs) {
-    clusterId = new UUID(random.nextLong(), random.nextLong()).toString();
+  /**
+   * Founds a cluster as the leader that a majority of the replicas of the first start, or all
+   * replicas, have elected. Each of them held no entries when it voted, so no other leader can have
+   * had an entry accepted.
+   */
+  private void found(ReplicaSet voters) {
+    clusterId =
+        originals.values().stream()
+            .map(OriginalReplica::foundingId)
+            .findFirst()
+            .orElseGet(() -> new UUID(random.nextLong(), random.nextLong()).toString());
     effects.add(new ReplicaEffect.FoundCluster(clusterId, voters));
-    LogEntry first = foundingEntry(voters, 0);
-    if (term < first.term()) {
-      saveVote(first.term(), "");
+    appendAsLeader(EntryKind.CONFIGURATION, ReplicatedLog.encodeVoters(voters), 0);
+  }
+
+  /** Gives vacant seats to the replicas of the first start that have none. */
+  private boolean fillVacantSeats() {
+    ReplicaSet voters = log.voters();
+    if (Seats.vacantCount(voters) == 0) {
+      return false;
+    }
+    ReplicaSet filled = Seats.fill(voters, originalInfos());
+    if (filled.equals(voters)) {
+      return false;
     }
-    log.append(List.of(first));
-    effects.add(ReplicaEffect.append(List.of(first)));
-    campaign(true, nowMs);
+    appendAsLeader(EntryKind.CONFIGURATION, ReplicatedLog.encodeVoters(filled), 0);
+    return true;
+  }
+
+  private List<ReplicaInfo> originalInfos() {
+    return originals.values().stream()
+        .map(original -> new ReplicaInfo(original.replicaId(), original.address()))
+        .toList();
   }
 
   /**
@@ -226,12 +270,16 @@
   }
 
   private void sendJoinRequests() {
-    JoinRequest request = joinRequest();
-    for (String peerAddress : knownAddresses) {
-      if (!peerAddress.equals(address)) {
-        effects.add(new ReplicaEffect.Send(peerAddress, request));
-      }
+    knownAddresses.stream()
+        .filter(peerAddress -> !peerAddress.equals(address))
+        .forEach(this::sendJoinRequest);
+  }
+
+  private void sendJoinRequest(String peerAddress) {
+    if (isOriginal()) {
+      effects.add(new ReplicaEffect.Send(peerAddress, statement()));
     }
+    effects.add(new ReplicaEffect.Send(peerAddress, joinRequest()));
   }
 
   private void campaign(boolean preVote, long nowMs) {
@@ -248,18 +296,40 @@
     long campaignTerm = preVote ? term + 1 : term;
     VoteRequest request =
         new VoteRequest(campaignTerm, id, address, log.lastIndex(), log.lastTerm(), preVote);
-    for (ReplicaInfo voter : log.voters().voters()) {
-      if (!voter.replicaId().equals(id)) {
-        effects.add(new ReplicaEffect.SendAfterSync(voter.address(), request));
-      }
-    }
+    voterAddresses().forEach(voter -> effects.add(new ReplicaEffect.SendAfterSync(voter, request)));
     countVotes(nowMs);
   }
 
+  /** Returns the addresses of the other replicas that may have a vote. */
+  private Set<String> voterAddresses() {
+    Set<String> addresses = new LinkedHashSet<>();
+    log.voters().voters().stream().map(ReplicaInfo::address).forEach(addresses::add);
+    if (isBlank() || Seats.vacantCount(log.voters()) > 0) {
+      addresses.addAll(knownAddresses);
+    }
+    addresses.remove(address);
+    addresses.remove("");
+    return addresses;
+  }
+
+  private boolean isElected(long nowMs) {
+    long grantedByOriginals = grantedVotes.stream().filter(originals::containsKey).count();
+    if (isBlank()) {
+      return grantedByOriginals > voterCount / 2
+          || (grantedVotes.size() >= voterCount && blankVoters(nowMs).isPresent());
+    }
+    ReplicaSet voters = log.voters();
+    long granted = grantedVotes.stream().filter(voter -> Seats.contains(voters, voter)).count();
+    long unseated =
+        grantedVotes.stream()
+            .filter(originals::containsKey)
+            .filter(voter -> !Seats.contains(voters, voter))
+            .count();
+    return granted + Math.min(unseated, Seats.vacantCount(voters)) > voters.voters().size() / 2;
+  }
+
   private void countVotes(long nowMs) {
-    List<ReplicaInfo> voters = log.voters().voters();
-    long granted = voters.stream().filter(v -> grantedVotes.contains(v.replicaId())).count();
-    if (granted <= voters.size() / 2) {
+    if (!isElected(nowMs)) {
       return;
     }
     if (preVoting) {
@@ -270,6 +340,11 @@
   }
 
   private void becomeLeader(long nowMs) {
+    if (isBlank()) {
+      found(newVoters(nowMs));
+    } else {
+      fillVacantSeats();
+    }
     grantedVotes.clear();
     leaderSeen = true;
     Leadership leading = new Leadership(this, timing, limits, log.lastIndex() + 1, nowMs);
@@ -278,6 +353,13 @@
     appendAsLeader(EntryKind.NOOP, Bytes.empty(), 0);
   }
 
+  private ReplicaSet newVoters(long nowMs) {
+    long grantedByOriginals = grantedVotes.stream().filter(originals::containsKey).count();
+    return grantedByOriginals > voterCount / 2
+        ? Seats.fill(Seats.vacant(voterCount), originalInfos())
+        : blankVoters(nowMs).orElseThrow();
+  }
+
   private void becomeFollower(long newTerm, String newLeaderAddress, long nowMs) {
     leadership.ifPresent(
         leading ->
@@ -327,12 +409,15 @@
       case SnapshotChunk chunk -> onSnapshotChunk(chunk, nowMs);
       case SnapshotAck ack -> onSnapshotAck(ack, nowMs);
       case JoinRequest request -> onJoinRequest(request, nowMs);
+      case OriginalReplica original -> originals.put(original.replicaId(), original);
       default -> throw new IllegalArgumentException("not a message between replicas: " + message);
     }
   }
 
   private void onVoteRequest(VoteRequest request, long nowMs) {
-    blankReplicas.onClusterMessage();
+    if (request.lastIndex() > 0) {
+      blankReplicas.onClusterMessage();
+    }
     if (request.preVote()) {
       sendVoteResponse(request, request.term(), wouldGrantPreVote(request, nowMs));
       return;
@@ -369,6 +454,9 @@
   private void sendVoteResponse(VoteRequest request, long grantedTerm, boolean granted) {
     long responseTerm = granted ? grantedTerm : term;
     VoteResponse response = new VoteResponse(responseTerm, id, granted, request.preVote());
+    if (granted && isOriginal()) {
+      effects.add(new ReplicaEffect.SendAfterSync(request.candidateAddress(), statement()));
+    }
     effects.add(new ReplicaEffect.SendAfterSync(request.candidateAddress(), response));
   }
 
@@ -421,7 +509,7 @@
     lastLeaderContactAtMs = nowMs;
     leaderSeen = true;
     resetElectionTimer(nowMs);
-    effects.add(new ReplicaEffect.Send(leader, joinRequest()));
+    sendJoinRequest(leader);
   }
 
   private boolean isOtherCluster(String otherClusterId) {
--- a/core/src/test/java/io/hingehoist/replication/ReplicaGroup.java
+++ b/core/src/test/java/io/hingehoist/replication/ReplicaGroup.java
@@ -39,6 +39,10 @@
     final String address;
     String replicaId;
     String clusterId = "";
+
+    /** Not empty while the box has the disk of the first start. */
+    String foundingId = foundsItself ? "founded" : "";
+
     long term;
     String votedFor = "";
     LogSnapshot snapshot = LogSnapshot.empty();
@@ -59,7 +63,13 @@
       replica =
           Replica.create(
               new Membership(
-                  replicaId, address, clusterId, addresses, addresses.size(), mayFound()),
+                  replicaId,
+                  address,
+                  clusterId,
+                  addresses,
+                  addresses.size(),
+                  mayFound(),
+                  foundingId),
               TIMING,
               limits,
               random,
@@ -72,6 +82,11 @@
       return foundsItself && address.equals(addresses.getFirst());
     }
 
+    /** Returns whether the box has a disk with entries that was not lost. */
+    boolean isFounder() {
+      return !foundingId.isEmpty() && !entries.isEmpty();
+    }
+
     /** Ends the replica and discards its unsynced writes. */
     void crash() {
       replica = null;
@@ -84,6 +99,7 @@
       crash();
       replicaId = newReplicaId;
       clusterId = "";
+      foundingId = "";
       term = 0;
       votedFor = "";
       snapshot = LogSnapshot.empty();
--- a/core/src/test/java/io/hingehoist/replication/ReplicaTest.java
+++ b/core/src/test/java/io/hingehoist/replication/ReplicaTest.java
@@ -203,7 +203,7 @@
       entries.add(new LogEntry(1, index, EntryKind.COMMAND, 0, Bytes.empty()));
     }
     return Replica.create(
-        new Membership("id", "box-0", "cluster", List.of("box-0", "box-1", "box-2"), 3, false),
+        new Membership("id", "box-0", "cluster", List.of("box-0", "box-1", "box-2"), 3, false, ""),
         ReplicaGroup.TIMING,
         SMALL_LIMITS,
         new Random(1),
--- a/daemon/src/main/java/io/hingehoist/journal/Identity.java
+++ b/daemon/src/main/java/io/hingehoist/journal/Identity.java
@@ -16,13 +16,19 @@
  *
  * @param replicaId random, generated when the disk was blank
  * @param clusterId the cluster that the disk belongs to; empty if it has joined none yet
+ * @param foundingId the id of the cluster that the replicas of the first start found; empty if the
+ *     disk is not of the first start
  */
-public record Identity(String replicaId, String clusterId) {
+public record Identity(String replicaId, String clusterId, String foundingId) {
   private static final String FILE = "identity.properties";
 
-  /** Returns a new random identity without a cluster. */
-  public static Identity random() {
-    return new Identity(UUID.randomUUID().toString(), "");
+  /**
+   * Returns a new random identity without a cluster.
+   *
+   * @param foundingId the id of the cluster to found; empty if this is not the first start
+   */
+  public static Identity random(String foundingId) {
+    return new Identity(UUID.randomUUID().toString(), "", foundingId);
   }
 
   /** Returns the identity stored in a folder; empty if there is none. */
@@ -37,18 +43,28 @@
     if (replicaId.isEmpty()) {
       throw DamageException.at(file, 0, "replicaId is missing");
     }
-    return Optional.of(new Identity(replicaId, properties.getProperty("clusterId", "")));
+    return Optional.of(
+        new Identity(
+            replicaId,
+            properties.getProperty("clusterId", ""),
+            properties.getProperty("foundingId", "")));
   }
 
   /** Writes this identity durably to a folder. */
   public void write(Path folder, Disk disk) throws IOException {
-    String text = "replicaId=" + replicaId + "\nclusterId=" + clusterId + "\n";
+    String text =
+        "replicaId=%s\nclusterId=%s\nfoundingId=%s\n".formatted(replicaId, clusterId, foundingId);
     ByteBuffer content = ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
     disk.writeAtomically(folder.resolve(FILE), content);
   }
 
   /** Returns this identity with the given cluster id. */
   public Identity inCluster(String newClusterId) {
-    return new Identity(replicaId, newClusterId);
+    return new Identity(replicaId, newClusterId, foundingId);
+  }
+
+  /** Returns this identity as that of a disk of the first start. */
+  Identity ofFirstStart(String newFoundingId) {
+    return new Identity(replicaId, clusterId, newFoundingId);
   }
 }
--- a/daemon/src/main/java/io/hingehoist/journal/Journal.java
+++ b/daemon/src/main/java/io/hingehoist/journal/Journal.java
@@ -45,10 +45,22 @@
    * @throws DamageException if synced data cannot be read back; the message names the file
    */
   public static Journal open(Path folder, Disk disk, Metrics metrics) throws IOException {
+    return open(folder, disk, metrics, "");
+  }
+
+  /**
+   * Opens the journal in a folder, or creates one for a blank replica if the folder has none.
+   *
+   * @param foundingId the id of the cluster that a blank replica founds with the others of the
+   *     first start; empty if this is not the first start
+   * @throws DamageException if synced data cannot be read back; the message names the file
+   */
+  public static Journal open(Path folder, Disk disk, Metrics metrics, String foundingId)
+      throws IOException {
     Journal journal = new Journal(folder, disk, metrics);
     Files.createDirectories(folder);
     if (isBlank(folder)) {
-      journal.initialize(DurableState.blank(), Identity.random());
+      journal.initialize(DurableState.blank(), Identity.random(foundingId));
     } else {
       journal.recover();
     }
@@ -73,7 +85,7 @@
     if (!isBlank(folder)) {
       throw new IOException(folder + ": already holds the state of a replica");
     }
-    Identity identity = Identity.random().inCluster(clusterId);
+    Identity identity = Identity.random("").inCluster(clusterId);
     LogEntry first =
         io.hingehoist.replication.Replica.foundingEntry(
             identity.replicaId(), replicaAddress, nowMs);
@@ -89,8 +101,7 @@
    * still blank, or {@link #recover} finds all that a start needs. The identity file follows.
    */
   private void initialize(DurableState state, Identity newIdentity) throws IOException {
-    IdentityStep step = new IdentityStep(newIdentity.replicaId(), newIdentity.clusterId());
-    startSegment(0, Optional.of(step), state.term(), state.votedFor(), state.entries());
+    startSegment(0, Optional.of(newIdentity), state.term(), state.votedFor(), state.entries());
     identity = newIdentity;
     identity.write(folder, disk);
     recovered = Optional.of(state);
@@ -221,14 +232,14 @@
 
   private void startSegment(
       long snapshotIndex,
-      Optional<IdentityStep> newIdentity,
+      Optional<Identity> newIdentity,
       long term,
       String votedFor,
       List<LogEntry> entries)
       throws IOException {
     segmentNumber++;
     List<Bytes> steps = new ArrayList<>();
-    newIdentity.ifPresent(step -> steps.add(step.toBytes()));
+    newIdentity.ifPresent(i -> steps.addAll(toSteps(i)));
     steps.add(new ResetStep(snapshotIndex).toBytes());
     steps.add(new VoteStep(term, votedFor).toBytes());
     entries.forEach(entry -> steps.add(new EntryStep(entry).toBytes()));
@@ -239,6 +250,13 @@
     segment = disk.openForAppend(path);
   }
 
+  private static List<Bytes> toSteps(Identity newIdentity) {
+    Bytes step = new IdentityStep(newIdentity.replicaId(), newIdentity.clusterId()).toBytes();
+    return newIdentity.foundingId().isEmpty()
+        ? List.of(step)
+        : List.of(step, new FoundingStep(newIdentity.foundingId()).toBytes());
+  }
+
   private static long numberOf(Path segment) {
     String name = segment.getFileName().toString();
     return Long.parseLong(name.substring(0, name.length() - SUFFIX.length()));
--- a/daemon/src/main/java/io/hingehoist/journal/JournalReader.java
+++ b/daemon/src/main/java/io/hingehoist/journal/JournalReader.java
@@ -111,7 +111,8 @@
       case TruncateStep step -> truncateFrom(step.fromIndex());
       case EntryStep step -> add(segment, offset, step.entry());
       case IdentityStep step ->
-          identity = Optional.of(new Identity(step.replicaId(), step.clusterId()));
+          identity = Optional.of(new Identity(step.replicaId(), step.clusterId(), ""));
+      case FoundingStep step -> identity = identity.map(i -> i.ofFirstStart(step.foundingId()));
     }
   }
 
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -29,6 +29,7 @@
 import io.hingehoist.message.LogEntry;
 import io.hingehoist.message.MemberState;
 import io.hingehoist.message.Message;
+import io.hingehoist.message.OriginalReplica;
 import io.hingehoist.message.Peer;
 import io.hingehoist.message.ProposeRequest;
 import io.hingehoist.message.ProposeResponse;
@@ -61,6 +62,7 @@
 import io.hingehoist.wire.FrameServer;
 import io.hingehoist.wire.MessageSink;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -68,6 +70,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.TreeSet;
+import java.util.UUID;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -158,7 +162,8 @@
                 journal.identity().clusterId(),
                 controlAddresses,
                 voterCount,
-                mayFound(settings)),
+                mayFound(settings),
+                journal.identity().foundingId()),
             ReplicaTiming.of(settings.electionTimeoutMs(), settings.heartbeatMs()),
             limits,
             new Random(),
@@ -195,6 +200,18 @@
     return !settings.foundsAt().isEmpty() && settings.foundsAt().equals(settings.doorAddress());
   }
 
+  /**
+   * Returns the id of the cluster to found at the first start, at which all replicas have the same
+   * addresses; empty at a later start.
+   */
+  private static String foundingId(NodeSection node, ControlSection settings) {
+    if (!settings.firstStart()) {
+      return "";
+    }
+    String addresses = String.join(",", new TreeSet<>(node.controlAddresses()));
+    return UUID.nameUUIDFromBytes(addresses.getBytes(StandardCharsets.UTF_8)).toString();
+  }
+
   /**
    * Starts a replica from the state in its data folder.
    *
@@ -213,7 +230,8 @@
       Optional<RouteFeed> routeFeed,
       Consumer<Throwable> onFatalError)
       throws IOException {
-    Journal journal = Journal.open(Path.of(node.dataFolder()), disk, metrics);
+    Journal journal =
+        Journal.open(Path.of(node.dataFolder()), disk, metrics, foundingId(node, settings));
     DurableState recovered = journal.takeRecovered();
     ControlNode control =
         new ControlNode(
@@ -617,13 +635,17 @@
 
   private void foundCluster(ReplicaEffect.FoundCluster found) throws IOException {
     LOG.infof(
-        "event=clusterFounded cluster=%s replica=%s blank=%s",
+        "event=clusterFounded cluster=%s replica=%s voters=%s",
         found.clusterId(),
         replica.id(),
-        found.voters().voters().stream().map(ReplicaInfo::address).toList());
+        found.voters().voters().stream().map(ControlNode::describe).toList());
     journal.joinCluster(found.clusterId());
   }
 
+  private static String describe(ReplicaInfo voter) {
+    return voter.address().isEmpty() ? voter.replicaId() : voter.address();
+  }
+
   private void install(LogSnapshot snapshot) throws IOException {
     journal.saveSnapshot(
         snapshot, replica.term(), replica.votedFor(), replica.entriesAfter(snapshot.lastIndex()));
@@ -681,6 +703,7 @@
       case SnapshotChunk m -> true;
       case SnapshotAck m -> true;
       case JoinRequest m -> true;
+      case OriginalReplica m -> true;
       default -> false;
     };
   }
--- a/daemon/src/test/java/io/hingehoist/journal/JournalTest.java
+++ b/daemon/src/test/java/io/hingehoist/journal/JournalTest.java
@@ -91,6 +91,22 @@
     assertNotEquals(open().identity(), first);
   }
 
+  /** A disk that forgot the first start could not help to found the cluster. */
+  @Test
+  public void aDiskOfTheFirstStartStaysOne() throws IOException {
+    Journal.open(folder, Disk.real(), Metrics.create(), "founding").close();
+    assertEquals(open().identity().foundingId(), "founding");
+    Files.delete(folder.resolve("identity.properties"));
+    assertEquals(open().identity().foundingId(), "founding");
+  }
+
+  @Test
+  public void aBlankDiskOfALaterStartIsNotOfTheFirst() throws IOException {
+    assertEquals(open().identity().foundingId(), "");
+    Journal.open(folder, Disk.real(), Metrics.create(), "founding").close();
+    assertEquals(open().identity().foundingId(), "");
+  }
+
   @Test
   public void tornTailIsTruncated() throws IOException {
     writeEntries(3);
--- a/daemon/src/test/java/io/hingehoist/quorum/FiveReplicasTest.java
+++ b/daemon/src/test/java/io/hingehoist/quorum/FiveReplicasTest.java
@@ -48,6 +48,7 @@
   private final List<Optional<ControlNode>> replicas = new ArrayList<>();
   private Path folder;
   private String foundsAt;
+  private boolean firstStart;
   private int port;
   private long startedAtNanos;
   private EventLoop loop;
@@ -61,6 +62,7 @@
     loop = EventLoop.start(Throwable::printStackTrace);
     startedAtNanos = System.nanoTime();
     foundsAt = "";
+    firstStart = false;
     replicas.clear();
     for (int i = 0; i < REPLICAS; i++) {
       replicas.add(Optional.empty());
@@ -125,6 +127,8 @@
                     address(index),
                     "foundsAt",
                     foundsAt,
+                    "firstStart",
+                    String.valueOf(firstStart),
                     "lossesBorne",
                     String.valueOf(TOLERATED_LOSSES),
                     "electionTimeoutMs",
@@ -245,6 +249,27 @@
     assertEquals(readAtAnyReplica(), new Result.Newest(1, ONE));
   }
 
+  /** Nothing was accepted while one of the boxes was dark from the first start on. */
+  @Test
+  public void twoReplicasMayBeMissingFromTheFirstStartOn() throws Exception {
+    foundsAt = address(0);
+    firstStart = true;
+    for (int i = 2; i < REPLICAS; i++) {
+      start(i);
+    }
+    assertEquals(publishAtAnyReplica(1, ONE), new Result.Accepted(1));
+    firstStart = false;
+    start(0);
+    start(1);
+    awaitVoter(0);
+    awaitVoter(1);
+    for (int lost : List.of(2, 3)) {
+      close(lost);
+      deleteFolder(dataFolder(lost));
+    }
+    assertEquals(readAtAnyReplica(), new Result.Newest(1, ONE));
+  }
+
   @Test
   public void toleratesTheSimultaneousLossOfTwoDisks() throws Exception {
     foundCluster();
