Unfinished frames of members give way last

Cause: if unfinished frames of other processes hold too much memory, the largest gave way, whoever sent it. So connections that never named a process could have a member's connection closed.

Change: connections that belong to a member of the deployment give way after all others.

Test: ConnectionLimiterTest.unfinishedFramesOfUnknownConnectionsGiveWayToThoseOfMembers fails with the order of before (the member is closed).

--- a/daemon/src/main/java/io/hingehoist/limits/ConnectionLimiter.java
+++ b/daemon/src/main/java/io/hingehoist/limits/ConnectionLimiter.java
@@ -19,9 +19,10 @@
  *
  * <p>If the connections hold too much memory, those give way first whose requests are not complete,
  * and among them the one that holds most; a small request finds room while large unfinished ones
- * are refused. A request in progress never gives way. If there are too many connections, one gives
- * way whose member has a newer one, or else the oldest that has never sent a complete request, or
- * else the one that is idle for longest. The connection of a member never gives way to another's.
+ * are refused. Connections of members of the deployment give way last, and a request in progress
+ * never does. If there are too many connections, one gives way whose member has a newer one, or
+ * else the oldest that has never sent a complete request, or else the one that is idle for longest.
+ * The connection of a member never gives way to another's.
  */
 public final class ConnectionLimiter {
   private static final Comparator<LimitedConnection> GIVES_WAY_FIRST =
@@ -37,6 +38,12 @@
   /** The newest connection of each member of the deployment. */
   private final Map<String, LimitedConnection> byMember = new HashMap<>();
 
+  /** The values of {@link #byMember}. */
+  private final Set<LimitedConnection> ofMembers = new HashSet<>();
+
+  private final Comparator<LimitedConnection> membersLast =
+      Comparator.comparing(ofMembers::contains);
+
   /** The connections of members that have a newer one, the oldest first. */
   private final Set<LimitedConnection> superseded = new LinkedHashSet<>();
 
@@ -116,7 +123,9 @@
       superseded.remove(connection);
       unproven.remove(connection);
       idle.remove(connection);
-      byMember.values().remove(connection);
+      if (ofMembers.remove(connection)) {
+        byMember.values().remove(connection);
+      }
     }
   }
 
@@ -132,8 +141,10 @@
     }
     LimitedConnection older = byMember.put(member, connection);
     if (older != null && older != connection) {
+      ofMembers.remove(older);
       superseded.add(older);
     }
+    ofMembers.add(connection);
   }
 
   /** Records that a connection has sent a complete request, which is in progress or waits. */
@@ -175,7 +186,9 @@
   public void enforceHeldBytes() {
     while (heldBytes > limits.maxHeldBytes()) {
       Optional<LimitedConnection> first =
-          all.stream().filter(connection -> connection.releasableBytes() > 0).min(GIVES_WAY_FIRST);
+          all.stream()
+              .filter(connection -> connection.releasableBytes() > 0)
+              .min(membersLast.thenComparing(GIVES_WAY_FIRST));
       if (first.isEmpty()) {
         return;
       }
--- a/daemon/src/test/java/io/hingehoist/limits/ConnectionLimiterTest.java
+++ b/daemon/src/test/java/io/hingehoist/limits/ConnectionLimiterTest.java
@@ -13,12 +13,21 @@
 /** Tests which connections of other processes give way when there are too many. */
 public final class ConnectionLimiterTest {
   private static final int MAX_CONNECTIONS = 3;
+  private static final long MAX_HELD_BYTES = 1_000;
   private static final long LONG_MS = 1_000_000;
 
   private ConnectionLimiter limiter;
   private List<PeerStandIn> closed;
 
   private final class PeerStandIn implements LimitedConnection {
+    private long heldBytes;
+
+    private void hold(long bytes) {
+      limiter.recordHeld(this, bytes);
+      heldBytes = bytes;
+      limiter.enforceHeldBytes();
+    }
+
     @Override
     public Stage stage() {
       return Stage.RECEIVING;
@@ -26,20 +35,23 @@
 
     @Override
     public long heldBytes() {
-      return 0;
+      return heldBytes;
     }
 
     @Override
     public long releasableBytes() {
-      return 0;
+      return heldBytes;
     }
 
     @Override
-    public void giveWay() {}
+    public void giveWay() {
+      close(CloseReason.HELD_BYTES);
+    }
 
     @Override
     public void close(CloseReason reason) {
       closed.add(this);
+      limiter.remove(this);
     }
 
     @Override
@@ -50,7 +62,7 @@
   public void createLimiter() {
     limiter =
         ConnectionLimiter.of(
-            new ConnectionLimits(MAX_CONNECTIONS, Long.MAX_VALUE, LONG_MS, LONG_MS));
+            new ConnectionLimits(MAX_CONNECTIONS, MAX_HELD_BYTES, LONG_MS, LONG_MS));
     closed = new ArrayList<>();
   }
 
@@ -98,6 +110,17 @@
     assertEquals(closed, List.of(unknown));
   }
 
+  /** A member that was sending much was closed for unfinished frames of somebody unknown. */
+  @Test
+  public void unfinishedFramesOfUnknownConnectionsGiveWayToThoseOfMembers() {
+    PeerStandIn member = connect("a");
+    PeerStandIn unknown = new PeerStandIn();
+    assertTrue(limiter.add(unknown));
+    member.hold(800);
+    unknown.hold(300);
+    assertEquals(closed, List.of(unknown));
+  }
+
   /** No log line or metric said that a deployment needs more connections than a process allows. */
   @Test
   public void aDeploymentThatNeedsMoreConnectionsIsReported() {
