Memory counts before a body grows, and until it is dropped

What was seen: an entry (bin/hingehoistd, 512 MB) ended by OutOfMemoryError while 400 connections sent 4 MB each without their last 40 bytes, as fast as loopback carries; heldBytes stood at 100 MB, its limit.

Cause: a body grew first and was counted after, on up to 256 threads at once, each with the old and the new array; and what gave way counted as released at once, while its bytes stayed until a thread of the pool had sent the refusal. So what was counted was less than what was held.

Change: the memory is counted, and others give way, before a body grows, and one body grows at a time; a body that gives way is dropped in the same step. The same for unfinished frames at the address for other processes of a control process, which had the same order. A request that is complete counts before its bytes are copied. The other stack (owners, hosts) has a single thread, which drops bodies as they give way.

Tests: EntryCrowdTest.crowdThatSendsAtOnceDoesNotEndEntry (eight senders) ends the entry without the change ("Terminating due to java.lang.OutOfMemoryError", one run), and passes with it; EntryCrowdTest 14 of 14 on the change.

--- a/daemon/src/main/java/io/hingehoist/entry/BodyReader.java
+++ b/daemon/src/main/java/io/hingehoist/entry/BodyReader.java
@@ -38,7 +38,10 @@
   private final long headBytes;
   private final Consumer<byte[]> onBody;
   private final AtomicBoolean refusalSent = new AtomicBoolean();
-  private volatile BodyBuffer body;
+
+  /** Guarded by the monitor of the limiter until the body is complete. */
+  private final BodyBuffer body;
+
   private long bodyBytes;
 
   /**
@@ -105,15 +108,18 @@
     if (bodyBytes > maxBytes) {
       refuseTooLarge();
     } else {
-      body.append(content);
-      connection.setReceiving(this, headBytes + body.capacity());
+      connection.receive(this, body, content, headBytes);
     }
   }
 
+  /** Drops what was received. Called with the monitor of the limiter held. */
+  void dropBody() {
+    body.clear();
+  }
+
   private void finish() {
-    byte[] content = body.toBytes();
-    if (connection.startRunning(headBytes + PARSING_FACTOR * content.length)) {
-      onBody.accept(content);
+    if (connection.startRunning(headBytes + PARSING_FACTOR * body.size())) {
+      onBody.accept(body.toBytes());
     } else {
       refuseTooMuchHeld();
       callback.succeeded();
@@ -136,7 +142,6 @@
   }
 
   private void sendRefusal(int status, AnswerBody refusal) {
-    body = BodyBuffer.create(0);
     if (refusalSent.compareAndSet(false, true)) {
       response.setStatus(status);
       response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
--- a/daemon/src/main/java/io/hingehoist/entry/CallerConnection.java
+++ b/daemon/src/main/java/io/hingehoist/entry/CallerConnection.java
@@ -1,8 +1,10 @@
 package io.hingehoist.entry;
 
+import io.hingehoist.limits.BodyBuffer;
 import io.hingehoist.limits.CloseReason;
 import io.hingehoist.limits.ConnectionLimiter;
 import io.hingehoist.limits.LimitedConnection;
+import java.nio.ByteBuffer;
 import java.util.Optional;
 import org.eclipse.jetty.io.EndPoint;
 
@@ -39,6 +41,23 @@
     }
   }
 
+  /**
+   * Appends what has arrived to the body of the request that is being received. The memory counts
+   * before it is taken, and only one body grows at a time.
+   *
+   * @param headBytes the memory for the head of the request
+   * @return false if the request is refused
+   */
+  boolean receive(BodyReader newReader, BodyBuffer body, ByteBuffer content, long headBytes) {
+    synchronized (limiter) {
+      setReceiving(newReader, headBytes + body.capacityFor(content.remaining()));
+      if (!refused) {
+        body.append(content);
+      }
+      return !refused;
+    }
+  }
+
   /**
    * Records that a request is complete, unless it does not fit beside those in progress.
    *
@@ -103,13 +122,18 @@
       if (!refused) {
         refused = true;
         refusedAtMs = CallerConnections.nowMs();
-        receivedBytes = 0;
+        dropReceived();
         updateHeld();
         limiter.recordRefusal(this, reason);
       }
     }
   }
 
+  private void dropReceived() {
+    reader.ifPresent(BodyReader::dropBody);
+    receivedBytes = 0;
+  }
+
   /** Returns whether a request was refused; the connection accepts no other. */
   boolean isRefused() {
     synchronized (limiter) {
@@ -156,7 +180,7 @@
   @Override
   public void close(CloseReason reason) {
     limiter.recordClose(reason);
-    receivedBytes = 0;
+    dropReceived();
     unsentBytes = 0;
     limiter.recordHeld(this, runningBytes - heldBytes);
     heldBytes = runningBytes;
--- a/daemon/src/main/java/io/hingehoist/limits/BodyBuffer.java
+++ b/daemon/src/main/java/io/hingehoist/limits/BodyBuffer.java
@@ -37,12 +37,33 @@
   }
 
   private void ensureCapacity(int required) {
-    if (required > bytes.length) {
-      long doubled = Math.max(MIN_CAPACITY, 2L * bytes.length);
-      bytes = Arrays.copyOf(bytes, (int) Math.max(required, Math.min(doubled, maxBytes)));
+    int needed = capacityFor(required - size);
+    if (needed > bytes.length) {
+      bytes = Arrays.copyOf(bytes, needed);
     }
   }
 
+  /** Returns the bytes of memory in use once a number of bytes has been appended. */
+  public int capacityFor(int count) {
+    int required = size + count;
+    if (required <= bytes.length) {
+      return bytes.length;
+    }
+    long doubled = Math.max(MIN_CAPACITY, 2L * bytes.length);
+    return (int) Math.max(required, Math.min(doubled, maxBytes));
+  }
+
+  /** Drops the bytes that were received. */
+  public void clear() {
+    bytes = EMPTY;
+    size = 0;
+  }
+
+  /** Returns the number of bytes that were received. */
+  public int size() {
+    return size;
+  }
+
   /** Returns the bytes of memory in use. */
   public int capacity() {
     return bytes.length;
--- a/daemon/src/main/java/io/hingehoist/wire/FrameConnection.java
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameConnection.java
@@ -175,8 +175,7 @@
       if (piece.length == 0) {
         throw new IOException("connection closed before the end of a frame");
       }
-      body.append(ByteBuffer.wrap(piece));
-      memory.frameHolds(body.capacity());
+      memory.append(body, ByteBuffer.wrap(piece));
       remaining -= piece.length;
     }
     return Bytes.copyOf(body.toBytes());
--- a/daemon/src/main/java/io/hingehoist/wire/FrameMemory.java
+++ b/daemon/src/main/java/io/hingehoist/wire/FrameMemory.java
@@ -1,6 +1,9 @@
 package io.hingehoist.wire;
 
+import io.hingehoist.limits.BodyBuffer;
 import io.hingehoist.message.Hello;
+import java.io.IOException;
+import java.nio.ByteBuffer;
 
 /** Accounts for the frame that a connection is receiving. Called on its reader thread. */
 interface FrameMemory {
@@ -8,7 +11,9 @@
   FrameMemory UNLIMITED =
       new FrameMemory() {
         @Override
-        public void frameHolds(long bytes) {}
+        public void append(BodyBuffer frame, ByteBuffer piece) {
+          frame.append(piece);
+        }
 
         @Override
         public void frameEnded() {}
@@ -26,8 +31,12 @@
     FrameMemory of(FrameConnection connection);
   }
 
-  /** Records how much memory the unfinished frame takes. */
-  void frameHolds(long bytes);
+  /**
+   * Appends a piece to the unfinished frame. The memory counts before it is taken.
+   *
+   * @throws IOException if the connection was closed because the frames hold too much
+   */
+  void append(BodyBuffer frame, ByteBuffer piece) throws IOException;
 
   /** Records that the frame is complete. */
   void frameEnded();
--- a/daemon/src/main/java/io/hingehoist/wire/LimitedFrames.java
+++ b/daemon/src/main/java/io/hingehoist/wire/LimitedFrames.java
@@ -1,9 +1,13 @@
 package io.hingehoist.wire;
 
+import io.hingehoist.limits.BodyBuffer;
 import io.hingehoist.limits.CloseReason;
 import io.hingehoist.limits.ConnectionLimiter;
 import io.hingehoist.limits.LimitedConnection;
 import io.hingehoist.message.Hello;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Optional;
 
 /**
  * The account of a connection that another process has opened. Guarded by the monitor of its
@@ -12,6 +16,7 @@
 final class LimitedFrames implements FrameMemory, LimitedConnection {
   private final ConnectionLimiter limiter;
   private final FrameConnection connection;
+  private Optional<BodyBuffer> unfinished = Optional.empty();
   private long heldBytes;
 
   LimitedFrames(ConnectionLimiter limiter, FrameConnection connection) {
@@ -25,17 +30,24 @@
   }
 
   @Override
-  public void frameHolds(long bytes) {
+  public void append(BodyBuffer frame, ByteBuffer piece) throws IOException {
     synchronized (limiter) {
+      unfinished = Optional.of(frame);
+      long bytes = frame.capacityFor(piece.remaining());
       limiter.recordHeld(this, bytes - heldBytes);
       heldBytes = bytes;
       limiter.enforceHeldBytes();
+      if (!connection.isOpen()) {
+        throw new IOException("the connection was closed within a frame");
+      }
+      frame.append(piece);
     }
   }
 
   @Override
   public void frameEnded() {
     synchronized (limiter) {
+      unfinished = Optional.empty();
       limiter.recordHeld(this, -heldBytes);
       heldBytes = 0;
       limiter.recordRequest(this);
@@ -80,6 +92,7 @@
   public void close(CloseReason reason) {
     limiter.recordClose(reason);
     limiter.remove(this);
+    unfinished.ifPresent(BodyBuffer::clear);
     connection.close();
   }
 
--- a/scenarios/src/test/java/io/hingehoist/scenario/EntryCrowdTest.java
+++ b/scenarios/src/test/java/io/hingehoist/scenario/EntryCrowdTest.java
@@ -17,7 +17,9 @@
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Iterator;
+import java.util.List;
 import java.util.function.Supplier;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -32,6 +34,8 @@
   private static final long SETTLE_TIMEOUT_S = 600;
   private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(5);
   private static final int PIECE_BYTES = 64 * 1024;
+  private static final int SENDERS = 8;
+  private static final int CONNECTIONS_OF_A_SENDER = 50;
   private static final String RUN_REQUEST = "POST /v1/requests";
   private static final RawRequests REQUESTS = RawRequests.to("entry.example");
 
@@ -103,6 +107,31 @@
     }
   }
 
+  /**
+   * An entry ended by bodies that arrived faster than those that had given way for them were
+   * dropped.
+   */
+  @Test
+  public void crowdThatSendsAtOnceDoesNotEndEntry() throws Exception {
+    try (LocalCluster cluster =
+        LocalCluster.create(
+            Files.createTempDirectory("entry-crowd-"), ClusterSpec.of(1, 1, "porting", 8))) {
+      cluster.start();
+      Supplier<Iterator<ByteBuffer>> text = REQUESTS.unfinishedText("POST /v1/jobs", 4_000_000, 40);
+      List<Crowd> crowds = new ArrayList<>();
+      for (int i = 0; i < SENDERS; i++) {
+        crowds.add(Crowd.open(cluster.httpAddress(1), CONNECTIONS_OF_A_SENDER, text));
+      }
+      checkAnswers(cluster);
+      checkHeld(cluster, cluster.process("server-1"));
+      for (Crowd crowd : crowds) {
+        crowd.close();
+      }
+      checkAnswers(cluster);
+      checkHeld(cluster, cluster.process("server-1"));
+    }
+  }
+
   private static long unreadBytes(LocalCluster cluster) {
     try {
       return ProcessFootprint.unreadBytes(cluster.ipOf("server-1"));
