More replicas of a first start than voters found one cluster

Cause: a cluster is founded by a majority of twice lossesBorne and one. If more replicas than that start, as on a deployment with more boxes with a disk than its tolerance asks for, two such majorities need not share a replica: two leaders in a term.

Change: a replica stands for election once it has heard of no new address for two election timeouts, and needs so many votes that the known replicas that are left are no quorum of the voters. With five of five that is three, as before. Where more replicas than seats are known, seats are not left vacant, as two of them could vote for the same. A replica that is not of the first start can found with all the others only.

--- a/core/src/main/java/io/hingehoist/replication/Replica.java
+++ b/core/src/main/java/io/hingehoist/replication/Replica.java
@@ -27,6 +27,7 @@
 import java.util.Set;
 import java.util.UUID;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 /**
  * A replica of the log, which consumes events and returns effects.
@@ -50,6 +51,12 @@
    */
   private static final long BLANK_TIMEOUTS = 4;
 
+  /**
+   * The number of election timeouts without a new address after which a replica of the first start
+   * knows of all others that it can reach. They announce themselves to each other in less than one.
+   */
+  private static final long QUIET_TIMEOUTS = 2;
+
   private final String id;
   private final String address;
   private final int voterCount;
@@ -65,6 +72,7 @@
   private final RandomGenerator random;
   private final ReplicatedLog log;
   private List<String> knownAddresses;
+  private long addressesChangedAtMs;
   private final List<ReplicaEffect> effects = new ArrayList<>();
 
   private String clusterId;
@@ -94,6 +102,7 @@
     this.address = membership.address();
     this.clusterId = membership.clusterId();
     this.knownAddresses = membership.knownAddresses();
+    this.addressesChangedAtMs = nowMs;
     this.voterCount = membership.voterCount();
     this.mayFound = membership.mayFound();
     this.foundingId = membership.foundingId();
@@ -131,7 +140,10 @@
   }
 
   /** Replaces the addresses of other replicas to which this one sends its join requests. */
-  public void updateKnownAddresses(List<String> addresses) {
+  public void updateKnownAddresses(List<String> addresses, long nowMs) {
+    if (!Set.copyOf(knownAddresses).containsAll(addresses)) {
+      addressesChangedAtMs = nowMs;
+    }
     knownAddresses = List.copyOf(addresses);
   }
 
@@ -202,7 +214,9 @@
 
   private boolean mayCampaign(long nowMs) {
     if (isBlank()) {
-      return isOriginal() || (mayFound && blankVoters(nowMs).isPresent());
+      boolean addressesAreKnown =
+          nowMs - addressesChangedAtMs >= QUIET_TIMEOUTS * timing.electionTimeoutMs();
+      return (isOriginal() && addressesAreKnown) || (mayFound && blankVoters(nowMs).isPresent());
     }
     return isVoter() || (isOriginal() && Seats.vacantCount(log.voters()) > 0);
   }
@@ -313,9 +327,8 @@
   }
 
   private boolean isElected(long nowMs) {
-    long grantedByOriginals = grantedVotes.stream().filter(originals::containsKey).count();
     if (isBlank()) {
-      return grantedByOriginals > voterCount / 2
+      return isElectedByOriginals()
           || (grantedVotes.size() >= voterCount && blankVoters(nowMs).isPresent());
     }
     ReplicaSet voters = log.voters();
@@ -353,11 +366,27 @@
     appendAsLeader(EntryKind.NOOP, Bytes.empty(), 0);
   }
 
+  /**
+   * Returns whether enough replicas of the first start have voted for this one to found a cluster:
+   * so many that no quorum of other voters is left among those that are known.
+   */
+  private boolean isElectedByOriginals() {
+    long granted = grantedVotes.stream().filter(originals::containsKey).count();
+    int quorum = voterCount / 2 + 1;
+    return isOriginal() && granted >= Math.max(quorum, knownReplicaCount() - quorum + 1);
+  }
+
+  private long knownReplicaCount() {
+    return Stream.concat(Stream.of(address), knownAddresses.stream()).distinct().count();
+  }
+
   private ReplicaSet newVoters(long nowMs) {
-    long grantedByOriginals = grantedVotes.stream().filter(originals::containsKey).count();
-    return grantedByOriginals > voterCount / 2
-        ? Seats.fill(Seats.vacant(voterCount), originalInfos())
-        : blankVoters(nowMs).orElseThrow();
+    if (!isElectedByOriginals()) {
+      return blankVoters(nowMs).orElseThrow();
+    }
+    ReplicaSet seated = Seats.fill(Seats.vacant(voterCount), originalInfos());
+    // With more replicas than seats, two of them could vote for the same vacant seat.
+    return knownReplicaCount() > voterCount ? Seats.retireVacant(seated) : seated;
   }
 
   private void becomeFollower(long newTerm, String newLeaderAddress, long nowMs) {
--- a/core/src/test/java/io/hingehoist/replication/FoundingTest.java
+++ b/core/src/test/java/io/hingehoist/replication/FoundingTest.java
@@ -236,6 +236,50 @@
     group.checkRecovery();
   }
 
+  /** Each half holds a majority of the five voters. */
+  @Test
+  public void twoHalvesOfMoreReplicasThanVotersFoundOneCluster() {
+    ReplicaGroup group = ReplicaGroup.blank(7, 7, 5);
+    for (String one : List.of("box-0", "box-1", "box-2")) {
+      for (String other : List.of("box-3", "box-4", "box-5", "box-6")) {
+        group.cutLink(one, other);
+        group.cutLink(other, one);
+      }
+    }
+    group.runFor(2_000);
+    assertTrue(group.committed.isEmpty());
+    group.cutLinks.clear();
+    group.runFor(2_000);
+    checkCommits(group, "first");
+    assertEquals(group.voterIds().size(), 5);
+  }
+
+  /** Replicas that are more than the voters could elect two founders at once. */
+  @Test(dataProvider = "seeds")
+  public void moreReplicasThanVotersFoundOneCluster(long seed) {
+    ReplicaGroup group = ReplicaGroup.blank(seed, 7, 5);
+    for (int i = 0; i < 6_000; i++) {
+      ReplicaGroup.Box box = group.randomBox();
+      int roll = group.random.nextInt(1_000);
+      if (box.replica == null) {
+        box.start();
+      } else if (roll < 300) {
+        box.step(new ReplicaEvent.Tick());
+      } else if (roll < 500) {
+        box.sync();
+      } else if (roll < 505) {
+        box.crash();
+      } else if (roll < 520) {
+        group.loseRandomMessage();
+      } else {
+        group.deliverRandomMessage();
+      }
+      group.nowMs += group.random.nextInt(3);
+    }
+    group.checkRecovery();
+    assertEquals(group.voterIds().size(), 5);
+  }
+
   /** Checks that at most one cluster commits anything, and that one does in the end. */
   @Test(dataProvider = "seeds")
   public void oneClusterIsFoundedUnderRandomFaults(long seed) {
--- a/core/src/test/java/io/hingehoist/replication/ReplicaGroup.java
+++ b/core/src/test/java/io/hingehoist/replication/ReplicaGroup.java
@@ -63,13 +63,7 @@
       replica =
           Replica.create(
               new Membership(
-                  replicaId,
-                  address,
-                  clusterId,
-                  addresses,
-                  addresses.size(),
-                  mayFound(),
-                  foundingId),
+                  replicaId, address, clusterId, addresses, voterCount, mayFound(), foundingId),
               TIMING,
               limits,
               random,
@@ -190,6 +184,7 @@
   final Random random;
   final LogLimits limits;
   private final boolean foundsItself;
+  private final int voterCount;
   final List<String> addresses;
   final Map<String, Box> boxes = new TreeMap<>();
   final List<Envelope> network = new ArrayList<>();
@@ -207,15 +202,22 @@
   }
 
   ReplicaGroup(long seed, int size, LogLimits limits) {
-    this(seed, size, limits, false);
+    this(seed, size, size, limits, false);
   }
 
   /** Returns a group of blank replicas, of which the first may found a cluster. */
   static ReplicaGroup blank(long seed, int size) {
-    return new ReplicaGroup(seed, size, LARGE_LIMITS, true);
+    return new ReplicaGroup(seed, size, size, LARGE_LIMITS, true);
   }
 
-  private ReplicaGroup(long seed, int size, LogLimits limits, boolean foundsItself) {
+  /** Returns a group of blank replicas that are more than the voters of their cluster. */
+  static ReplicaGroup blank(long seed, int size, int voterCount) {
+    return new ReplicaGroup(seed, size, voterCount, LARGE_LIMITS, true);
+  }
+
+  private ReplicaGroup(
+      long seed, int size, int voterCount, LogLimits limits, boolean foundsItself) {
+    this.voterCount = voterCount;
     this.limits = limits;
     this.foundsItself = foundsItself;
     random = new Random(seed);
--- a/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
+++ b/daemon/src/main/java/io/hingehoist/quorum/ControlNode.java
@@ -548,7 +548,7 @@
               links.sendToAll(announce);
               links.reconnectSilent(nowMs);
               discovery.controlAddresses().forEach(address -> links.open(address, nowMs));
-              replica.updateKnownAddresses(links.addresses());
+              replica.updateKnownAddresses(links.addresses(), nowMs);
               server.recordNeeded(discovery.peerCount());
             });
   }
