--- a/daemon/src/main/java/io/hingehoist/entry/CallerConnection.java
+++ b/daemon/src/main/java/io/hingehoist/entry/CallerConnection.java
@@ -42,19 +42,17 @@
   }
 
   /**
-   * Appends what has arrived to the body of the request that is being received. The memory counts
-   * before it is taken, and only one body grows at a time.
+   * Appends what has arrived to the body of the request that is being received, unless the request
+   * is refused. The memory counts before it is taken, and only one body grows at a time.
    *
    * @param headBytes the memory for the head of the request
-   * @return false if the request is refused
    */
-  boolean receive(BodyReader newReader, BodyBuffer body, ByteBuffer content, long headBytes) {
+  void receive(BodyReader newReader, BodyBuffer body, ByteBuffer content, long headBytes) {
     synchronized (limiter) {
       setReceiving(newReader, headBytes + body.capacityFor(content.remaining()));
       if (!refused) {
         body.append(content);
       }
-      return !refused;
     }
   }
 
--- a/daemon/src/main/java/io/hingehoist/limits/ConnectionReports.java
+++ b/daemon/src/main/java/io/hingehoist/limits/ConnectionReports.java
@@ -77,12 +77,12 @@
    */
   public void recordNeeded(int connections) {
     int limit = limiter.limits().maxConnections();
-    boolean exceeded = connections > limit;
-    boolean changed = exceeded != needed > limit;
+    boolean exceeds = connections > limit;
+    boolean exceeded = needed > limit;
     needed = connections;
-    if (changed) {
+    if (exceeds != exceeded) {
       lines.accept(
-          exceeded ? "connectionLimitBelowNeed" : "connectionLimitSufficient",
+          exceeds ? "connectionLimitBelowNeed" : "connectionLimitSufficient",
           "group=%s needed=%d maxConnections=%d".formatted(group, connections, limit));
     }
   }
