Review: case 4, an edge that is stopped takes a job and closes its connection without an answer

A request that is sent on an open connection more than 3 s after the edge's SIGTERM is taken, passed on to a worker, and given up when the process ends at 5.7 s of the 6 s (rule LOST, planned work).

--- /dev/null
+++ b/review/stand-ins-2/Cases.java
@@ -0,0 +1,22 @@
+import java.nio.file.Path;
+
+/** Runs one case; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run. */
+final class Cases {
+  public static void main(String[] arguments) {
+    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    Path recordFile = Path.of(arguments[1]);
+    int code = 2;
+    try {
+      code =
+          switch (arguments[0]) {
+            case "stopped-edge" -> StoppedEdge.run(trouble, recordFile);
+            case "cancel-retried" -> Cancels.retried(trouble, recordFile);
+            case "cancel-copied" -> Cancels.copied(trouble, recordFile);
+            default -> throw new IllegalArgumentException(arguments[0]);
+          };
+    } catch (Exception | AssertionError e) {
+      e.printStackTrace();
+    }
+    System.exit(code);
+  }
+}
