Review: case 8, nothing is served after the core was killed during its first start while one machine is lost

A replica whose disk was still blank at the kill is no longer of the first start; a cluster is then founded only when all five replicas are there (rule Fault: no request is served).

--- a/review/stand-ins-2/Cases.java
+++ b/review/stand-ins-2/Cases.java
@@ -5,6 +5,7 @@
   public static void main(String[] arguments) {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     Path recordFile = Path.of(arguments[1]);
+    String part = System.getenv().getOrDefault("PART", "");
     int code = 2;
     try {
       code =
@@ -13,6 +14,9 @@
             case "cancel-retried" -> Cancels.retried(trouble, recordFile);
             case "cancel-copied" -> Cancels.copied(trouble, recordFile);
             case "lost-accelerators" -> LostAccelerators.run(trouble, recordFile);
+            case "killed-first-start" ->
+                KilledFirstStart.run(
+                    trouble && !"loss".equals(part), trouble && !"kill".equals(part), recordFile);
             default -> throw new IllegalArgumentException(arguments[0]);
           };
     } catch (Exception | AssertionError e) {
