--- a/review/stand-ins-2/Stage.java
+++ b/review/stand-ins-2/Stage.java
@@ -327,16 +327,18 @@
         .formatted(version, HOST, PREFIX, timeoutMs, SERVICE, SERVICE);
   }
 
-  /** Sends a configuration, to one node after the other, and returns the last status. */
+  /** Sends a configuration to one node after the other until one takes it; returns the last status. */
   int putConfiguration(String body) {
     int status = 0;
+    List<Integer> statuses = new ArrayList<>();
     for (Node control : controls) {
       status = operate(control.ip + ':' + DOOR, "POST", "/Config.Put", body).status;
+      statuses.add(status);
       if (status == 200) {
         break;
       }
     }
-    log("operator: configuration -> %d", status);
+    log("operator: configuration -> %s", statuses);
     return status;
   }
 
