--- a/review/stand-ins-2/KilledFirstStart.java
+++ b/review/stand-ins-2/KilledFirstStart.java
@@ -5,10 +5,10 @@
 
 /** The processes of the core are killed during the first start, while one of its machines is lost. */
 final class KilledFirstStart {
-  private static final long TRY_MS = 60_000;
+  private static final long TRY_MS = 40_000;
 
   /** The kill comes before a process has written anything to its disk. */
-  private static final long KILL_AFTER_MS = 60;
+  private static final long KILL_AFTER_MS = 25;
 
   /**
    * Runs the case.
@@ -19,25 +19,33 @@
   static int run(boolean kills, boolean loses, Path recordFile) throws Exception {
     try (Stage stage = Stage.create(recordFile, 5, 3, 3)) {
       Stage.Node lost = stage.controls.get(4);
-      for (Stage.Node node : stage.all()) {
-        if (!loses || node != lost) {
-          node.start(true);
-        }
-      }
       stage.log("platform: the machines start for the first time, bootstrap is true");
       if (loses) {
         stage.log("platform: the machine of %s is lost", lost.name);
       }
+      for (Stage.Node control : stage.controls) {
+        if (!loses || control != lost) {
+          control.start(true);
+        }
+      }
+      List<Stage.Node> started = stage.controls.stream().filter(Stage.Node::runs).toList();
       if (kills) {
         Stage.sleep(KILL_AFTER_MS);
-        List<Stage.Node> killed = stage.controls.stream().filter(Stage.Node::runs).toList();
-        killed.forEach(node -> node.process.destroyForcibly());
-        for (Stage.Node node : killed) {
+        started.forEach(node -> node.process.destroyForcibly());
+        for (Stage.Node node : started) {
           node.process.waitFor();
         }
-        stage.log("platform: %d processes of the core were killed at once", killed.size());
+        stage.log("platform: %d processes of the core were killed at once", started.size());
+      }
+      for (Stage.Node owner : stage.owners) {
+        owner.start(true);
+      }
+      for (Stage.Node host : stage.hosts) {
+        host.start(true);
+      }
+      if (kills) {
         Stage.sleep(400);
-        for (Stage.Node node : killed) {
+        for (Stage.Node node : started) {
           node.start(false);
         }
         stage.log("platform: they are back, bootstrap is false");
