--- a/review/stand-ins-2/Cancels.java
+++ b/review/stand-ins-2/Cancels.java
@@ -33,8 +33,7 @@
           cancel = delete(stage, first);
         }
         if (cancel.status != 410 && cancel.status / 100 != 2) {
-          stage.log("no acknowledgement of the cancelling");
-          return 0;
+          throw new Stage.CannotRun("no acknowledgement of the cancelling");
         }
         int code = watch(stage, stage.nowMs());
         stage.log("client: POST -> %s", post.get());
@@ -58,7 +57,7 @@
         long cancelledAtMs = stage.nowMs();
         stage.log("client: POST -> %s", post.get());
         if (cancel.status != 410 && cancel.status / 100 != 2) {
-          return 0;
+          throw new Stage.CannotRun("no acknowledgement of the cancelling");
         }
         Thread.sleep(CANCEL_MS + 1_000);
         if (trouble) {
@@ -106,10 +105,13 @@
   }
 
   /** Waits until long after the acknowledgement; returns 1 if a task was started too late. */
-  private static int watch(Stage stage, long acknowledgedAtMs) {
+  private static int watch(Stage stage, long acknowledgedAtMs) throws Stage.CannotRun {
     Stage.sleep(acknowledgedAtMs + CANCEL_MS + 4_500 - stage.nowMs());
     long lastStartAtMs =
         stage.workers.values().stream().mapToLong(worker -> worker.lastStartAtMs).max().orElse(-1);
+    if (lastStartAtMs < 0) {
+      throw new Stage.CannotRun("no task was started");
+    }
     long afterMs = lastStartAtMs - acknowledgedAtMs;
     stage.log("last start of a task: %d ms after the acknowledgement", afterMs);
     return afterMs > CANCEL_MS ? 1 : 0;
--- a/review/stand-ins-2/Cases.java
+++ b/review/stand-ins-2/Cases.java
@@ -1,6 +1,6 @@
 import java.nio.file.Path;
 
-/** Runs one case; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run. */
+/** Runs one case; exits with 10 if the rule was broken, 0 if it held, 2 if it could not run. */
 final class Cases {
   public static void main(String[] arguments) {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
@@ -19,9 +19,9 @@
                     trouble && !"loss".equals(part), trouble && !"kill".equals(part), recordFile);
             default -> throw new IllegalArgumentException(arguments[0]);
           };
-    } catch (Exception | AssertionError e) {
+    } catch (Throwable e) {
       e.printStackTrace();
     }
-    System.exit(code);
+    System.exit(code == 1 ? 10 : code);
   }
 }
--- a/review/stand-ins-2/KilledFirstStart.java
+++ b/review/stand-ins-2/KilledFirstStart.java
@@ -60,12 +60,22 @@
         Stage.sleep(1_000);
       }
       int served = 0;
+      int refused = 0;
       for (int number = 1; number <= 12; number++) {
         Stage.Answer answer = post(stage, number);
         served += answer.status == 200 ? 1 : 0;
+        refused += answer.status == 503 ? 1 : 0;
         Stage.sleep(500);
       }
       stage.log("client: %d of 12 requests were served", served);
+      for (Stage.Node node : stage.all()) {
+        if (!node.runs() && !(loses && node == lost)) {
+          throw new Stage.CannotRun(node.name + " does not run");
+        }
+      }
+      if (served == 0 && refused < 12) {
+        throw new Stage.CannotRun("not every edge answered");
+      }
       return served == 0 ? 1 : 0;
     }
   }
--- a/review/stand-ins-2/LostAccelerators.java
+++ b/review/stand-ins-2/LostAccelerators.java
@@ -53,7 +53,9 @@
         lose(stage, third);
       }
       for (CompletableFuture<Stage.Answer> post : posts.values()) {
-        post.get();
+        if (post.get().status != 200) {
+          throw new Stage.CannotRun("a job was not answered the first time");
+        }
       }
       Stage.sleep(4_000);
       int number = 0;
--- a/review/stand-ins-2/StoppedEdge.java
+++ b/review/stand-ins-2/StoppedEdge.java
@@ -51,6 +51,9 @@
         stage.log("client: job %s -> %s after %d ms", SECOND, second, afterMs);
         stage.log("client: job %s -> %s", FIRST, first.get());
         // LOST: closed without an answer, later than lost-ms, before the deadline and the timeout.
+        if (second.status == 0 && (afterMs <= 200 || afterMs >= 1_450)) {
+          throw new Stage.CannotRun("no answer, but not in the time that counts");
+        }
         return second.status == 0 && afterMs > 200 && afterMs < 1_450 ? 1 : 0;
       }
     }
