--- a/review/stand-ins-2/Cancels.java
+++ b/review/stand-ins-2/Cancels.java
@@ -64,7 +64,9 @@
           stage.log("platform: the same POST arrives again, at edge-2");
           copy.send("POST", Stage.PREFIX + JOB, headers(), job());
         }
-        return watch(stage, cancelledAtMs);
+        int code = watch(stage, cancelledAtMs);
+        stage.log("client: the POST that arrived again -> %s", trouble ? copy.receive(500) : "none");
+        return code;
       }
     }
   }
