Review: case 9 resets the connection after 6 to 25 ms

The time that an edge needs for the new routes depends on the machine, so each round waits for another time before the reset.

--- a/review/9/Case9.java
+++ b/review/9/Case9.java
@@ -20,7 +20,9 @@
   private static final int MORE_ROUTES = 1_940;
 
   private static final long RUN_MS = 2_000;
-  private static final long RESET_AFTER_MS = 6;
+
+  /** When the connection is reset, by rounds: the time that the fetch takes depends on the machine. */
+  private static final long[] RESET_AFTER_MS = {6, 10, 15, 20, 25};
 
   /** Exit codes; run.sh makes 1 and 2 of the last two. */
   private static final int HELD = 0;
@@ -69,8 +71,9 @@
         ids.add(id);
         int first = i % EDGES;
         boolean reset = trouble && i == 0;
+        long resetAfterMs = RESET_AFTER_MS[round - 1];
         senders.add(
-            Thread.ofVirtual().start(() -> sendTwice(log, edges, first, prefix + id, reset)));
+            Thread.ofVirtual().start(() -> sendTwice(log, edges, first, prefix + id, reset, resetAfterMs)));
       }
       for (Thread sender : senders) {
         sender.join();
@@ -117,14 +120,19 @@
 
   /** Sends a job, and once more 1,300 ms after no answer or a broken connection. */
   private static void sendTwice(
-      Log log, List<Deployment.Machine> edges, int first, String path, boolean reset) {
+      Log log,
+      List<Deployment.Machine> edges,
+      int first,
+      String path,
+      boolean reset,
+      long resetAfterMs) {
     String body = Client.body(1, RUN_MS, 1_600);
     for (int attempt = 0; attempt < 2; attempt++) {
       Deployment.Machine edge = edges.get((first + attempt) % edges.size());
       log.line("client", "sends " + path + " to " + edge.name);
       Http.Answer answer =
           reset && attempt == 0
-              ? postAndReset(edge, path, body)
+              ? postAndReset(edge, path, body, resetAfterMs)
               : Http.call(
                   edge.ip,
                   Deployment.FRONT_PORT,
@@ -148,7 +156,8 @@
   }
 
   /** Sends a request on a connection that is then reset. */
-  private static Http.Answer postAndReset(Deployment.Machine edge, String path, String body) {
+  private static Http.Answer postAndReset(
+      Deployment.Machine edge, String path, String body, long resetAfterMs) {
     try (Socket socket = new Socket()) {
       socket.setTcpNoDelay(true);
       socket.connect(new InetSocketAddress(edge.ip, Deployment.FRONT_PORT), 1_000);
@@ -161,7 +170,7 @@
               + body;
       socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
       socket.getOutputStream().flush();
-      Thread.sleep(RESET_AFTER_MS);
+      Thread.sleep(resetAfterMs);
       socket.setSoLinger(true, 0);
     } catch (IOException | InterruptedException e) {
       return new Http.Answer(-1, e.toString(), java.util.Map.of());
