HttpExchange: work for a caller starts only while the caller is there, with its cancellation

Its connection was reset while the owner still fetched the route; the owner started it all the same and never stopped it, beside the run that the caller's next attempt began at another owner 1,300 ms later.

Cause: HttpExchange.onDisconnect took an action at any time, also after the disconnection that it waits for, and then never ran it. The handler registered the removal of its waiter after the read of the routes, so the job had a waiter that nothing removes. The same holds for the caller's deadline, as HttpExchange.timeOut ends the exchange the same way.

Change: startWork(start, cancel) takes the place of onDisconnect. It starts nothing once the exchange has ended, and the cancellation is registered before the work starts, so neither can be had without the other. All work of an exchange is cancelled, also where a handler starts several parts.

--- a/daemon/src/main/java/io/hingehoist/net/HttpExchange.java
+++ b/daemon/src/main/java/io/hingehoist/net/HttpExchange.java
@@ -1,14 +1,19 @@
 package io.hingehoist.net;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
 
-/** An HTTP request that awaits its response. Not thread-safe: confined to the event loop. */
+/**
+ * An HTTP request that awaits its response. It ends when it is answered or aborted, or when its
+ * caller disconnects. Not thread-safe: confined to the event loop.
+ */
 public final class HttpExchange {
   private final HttpRequest request;
   private final Consumer<HttpResponse> responses;
   private final Runnable resetConnection;
   private final EventLoop loop;
-  private Runnable onDisconnect = () -> {};
+  private final List<Runnable> cancellations = new ArrayList<>(1);
   private Runnable cancelTimeout = () -> {};
   private boolean ended;
 
@@ -44,9 +49,22 @@
     }
   }
 
-  /** Sets the action to run if the caller disconnects before the response. */
-  public void onDisconnect(Runnable action) {
-    onDisconnect = action;
+  /**
+   * Starts work for the caller, unless the exchange has ended. A handler that has waited for
+   * something starts its work only through this method, as the caller may have disconnected
+   * meanwhile.
+   *
+   * @param start starts the work; not run if the exchange has ended
+   * @param cancel cancels the work; run at most once, if the caller disconnects before the response
+   * @return whether the work was started
+   */
+  public boolean startWork(Runnable start, Runnable cancel) {
+    if (ended) {
+      return false;
+    }
+    cancellations.add(cancel);
+    start.run();
+    return true;
   }
 
   /**
@@ -69,7 +87,7 @@
   void disconnected() {
     if (!ended) {
       end();
-      onDisconnect.run();
+      cancellations.forEach(Runnable::run);
     }
   }
 
--- a/daemon/src/test/java/io/hingehoist/net/HttpServerTest.java
+++ b/daemon/src/test/java/io/hingehoist/net/HttpServerTest.java
@@ -44,8 +44,16 @@
   /** Defers its work to a later task of the loop, as nodes do. */
   private void handle(HttpExchange exchange) {
     events.add("request");
-    exchange.onDisconnect(() -> events.add("disconnected"));
-    loop.execute(() -> events.add("work"));
+    exchange.startWork(
+        () -> loop.execute(() -> events.add("work")), () -> events.add("disconnected"));
+    loop.execute(() -> startLaterWork(exchange));
+  }
+
+  private void startLaterWork(HttpExchange exchange) {
+    boolean started =
+        exchange.startWork(
+            () -> events.add("later work"), () -> events.add("later work cancelled"));
+    events.add("later work started: " + started);
   }
 
   @DataProvider
@@ -73,6 +81,21 @@
     assertEquals(events.poll(TIMEOUT_S, TimeUnit.SECONDS), "request");
     assertEquals(events.poll(TIMEOUT_S, TimeUnit.SECONDS), "disconnected");
     assertEquals(events.poll(TIMEOUT_S, TimeUnit.SECONDS), "work");
+    assertEquals(events.poll(TIMEOUT_S, TimeUnit.SECONDS), "later work started: false");
+  }
+
+  /** A job was started for a caller that had disconnected while its route was read. */
+  @Test
+  public void allWorkOfARequestIsCancelledOnceItsCallerDisconnects() throws Exception {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      socket.getOutputStream().write(request(0));
+      assertEquals(events.poll(TIMEOUT_S, TimeUnit.SECONDS), "request");
+      assertEquals(events.poll(TIMEOUT_S, TimeUnit.SECONDS), "work");
+      assertEquals(events.poll(TIMEOUT_S, TimeUnit.SECONDS), "later work");
+      assertEquals(events.poll(TIMEOUT_S, TimeUnit.SECONDS), "later work started: true");
+    }
+    assertEquals(events.poll(TIMEOUT_S, TimeUnit.SECONDS), "disconnected");
+    assertEquals(events.poll(TIMEOUT_S, TimeUnit.SECONDS), "later work cancelled");
   }
 
   /** A process ran out of memory while it held as many large bodies as there were callers. */
