Owner: requests that wait for a route are handled in order, as soon as the route is in force

A POST for a route that isn't in force yet waits for the leader's word on the newest version. If the route came into force meanwhile by a notice, a DELETE or GET of the same job found it and went first: 410, and the job ran afterwards though it had been cancelled.

Cause: each request waited for a version number, not for its route, and a later request didn't look at those that wait.

Change: RouteLookups (core) holds the requests that wait. A request gets its route once the route is in force, whichever way it came, and requests with one host and path get their results in the order in which they arrived. A request whose caller leaves while it waits is taken out, so its body isn't held longer. JobIntake.beginLookup takes the place of readNewestRoutes.

--- a/daemon/src/main/java/io/hingehoist/adapter/JobIntake.java
+++ b/daemon/src/main/java/io/hingehoist/adapter/JobIntake.java
@@ -1,10 +1,10 @@
 package io.hingehoist.adapter;
 
+import io.hingehoist.route.RouteLookup;
 import io.hingehoist.route.RouteTable;
 import io.hingehoist.run.JobEnd;
 import io.hingehoist.run.JobPlan;
 import java.util.Optional;
-import java.util.function.Consumer;
 
 /**
  * Accepts jobs from callers; implemented by the owner. Not thread-safe: confined to the event loop.
@@ -21,11 +21,14 @@
   Optional<RouteTable> routes();
 
   /**
-   * Reads the newest routes from the control replicas.
-   *
-   * @param result receives the routes; empty if no leader answered in time
+   * Looks up a route that is not in force here in the newest configuration, as the control replicas
+   * may have accepted it a moment ago. Lookups with the same host and path get their results in the
+   * order in which they were begun, and before such a route is found in {@link #routes}.
    */
-  void readNewestRoutes(Consumer<Optional<RouteTable>> result);
+  void beginLookup(RouteLookup lookup);
+
+  /** Cancels a lookup whose caller has disconnected: it gets no result any more. */
+  void cancelLookup(RouteLookup lookup);
 
   /** Returns whether this box will stop too soon for a job to complete. */
   boolean stopsTooSoonFor(JobPlan plan);
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -28,6 +28,7 @@
 import io.hingehoist.net.PlannedStop;
 import io.hingehoist.net.ZoneGauges;
 import io.hingehoist.quorum.ControlAddresses;
+import io.hingehoist.route.RouteLookup;
 import io.hingehoist.route.RouteTable;
 import io.hingehoist.run.EvacuatedZonesView;
 import io.hingehoist.run.JobEnd;
@@ -334,8 +335,13 @@
   }
 
   @Override
-  public void readNewestRoutes(Consumer<Optional<RouteTable>> result) {
-    routes.readNewest(result);
+  public void beginLookup(RouteLookup lookup) {
+    routes.begin(lookup);
+  }
+
+  @Override
+  public void cancelLookup(RouteLookup lookup) {
+    routes.cancel(lookup);
   }
 
   @Override
--- a/daemon/src/main/java/io/hingehoist/owner/RouteFetcher.java
+++ b/daemon/src/main/java/io/hingehoist/owner/RouteFetcher.java
@@ -6,32 +6,21 @@
 import io.hingehoist.net.ControlLinks;
 import io.hingehoist.net.EventLoop;
 import io.hingehoist.route.RouteDownload;
+import io.hingehoist.route.RouteLookup;
+import io.hingehoist.route.RouteLookups;
 import io.hingehoist.route.RouteTable;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
-import java.util.function.Consumer;
 
 /**
  * Holds the routes in force at an owner and fetches newer versions from the control replicas. Not
  * thread-safe: confined to the event loop.
  */
 final class RouteFetcher {
-  /**
-   * Longer than it takes to fetch the parts of some thousand routes, and short compared with the
-   * time that a caller waits.
-   */
-  private static final long READ_TIMEOUT_MS = 400;
-
-  /** A caller's read that waits until a version or a newer one is in force. */
-  private record PendingRead(
-      long version, long expiresAtMs, Consumer<Optional<RouteTable>> result) {}
-
   private final String document;
   private final ControlLinks controls;
   private final DecisionLog log;
   private final RouteDownload download = RouteDownload.create();
-  private List<PendingRead> pendingReads = new ArrayList<>();
+  private final RouteLookups lookups = RouteLookups.create();
 
   RouteFetcher(String document, ControlLinks controls, DecisionLog log) {
     this.document = document;
@@ -64,7 +53,7 @@
   void onTick(long nowMs) {
     download.onTick(nowMs);
     carryOut();
-    completePendingReads(nowMs);
+    lookups.settleAll(table(), nowMs);
   }
 
   private void carryOut() {
@@ -85,49 +74,30 @@
         "version=%d parts=%d fetchMs=%d"
             .formatted(activated.table().version(), activated.partCount(), activated.durationMs());
     log.write("configurationInForce", activated.source(), outcome);
-    completePendingReads(EventLoop.nowMs());
+    lookups.settleAll(table(), EventLoop.nowMs());
   }
 
-  /**
-   * Reads the newest version number from the leader, and waits until that version is in force here.
-   *
-   * @param result accepts the routes; empty if the version number or the routes did not arrive in
-   *     time
-   */
-  void readNewest(Consumer<Optional<RouteTable>> result) {
-    controls.readNewestVersion(
-        document,
-        newest -> {
-          if (newest.isEmpty()) {
-            result.accept(Optional.empty());
-          } else {
-            awaitVersion(newest.get(), result);
-          }
-        });
+  /** Looks up a route in the newest configuration. */
+  void begin(RouteLookup lookup) {
+    lookups.begin(lookup);
+    controls.readNewestVersion(document, newest -> onVersion(lookup, newest));
   }
 
-  private void awaitVersion(
-      ControlLinks.ReportedVersion newest, Consumer<Optional<RouteTable>> result) {
+  private void onVersion(RouteLookup lookup, Optional<ControlLinks.ReportedVersion> newest) {
     long nowMs = EventLoop.nowMs();
-    pendingReads.add(new PendingRead(newest.version(), nowMs + READ_TIMEOUT_MS, result));
-    if (newest.version() > table().version()) {
-      download.onVersionAnnounced(newest.address(), newest.version(), nowMs);
+    if (newest.isEmpty()) {
+      lookups.versionMissing(lookup, table(), nowMs);
+      return;
+    }
+    lookups.versionReported(lookup, newest.get().version(), table(), nowMs);
+    if (newest.get().version() > table().version()) {
+      download.onVersionAnnounced(newest.get().address(), newest.get().version(), nowMs);
       carryOut();
     }
-    completePendingReads(nowMs);
   }
 
-  private void completePendingReads(long nowMs) {
-    List<PendingRead> reads = pendingReads;
-    pendingReads = new ArrayList<>();
-    for (PendingRead read : reads) {
-      if (read.version() <= table().version()) {
-        read.result().accept(Optional.of(table()));
-      } else if (nowMs >= read.expiresAtMs()) {
-        read.result().accept(Optional.empty());
-      } else {
-        pendingReads.add(read);
-      }
-    }
+  /** Cancels a lookup whose caller has disconnected. */
+  void cancel(RouteLookup lookup) {
+    lookups.cancel(lookup);
   }
 }
