--- a/core/src/main/java/io/hingehoist/route/RouteLookups.java
+++ b/core/src/main/java/io/hingehoist/route/RouteLookups.java
@@ -26,6 +26,19 @@
   private static final RouteLookup.Result NO_ROUTES =
       new RouteLookup.Result.Unavailable("the newest configuration did not arrive in time");
 
+  /** Receives the end of each lookup, before its result is passed on. */
+  @FunctionalInterface
+  public interface EndListener {
+    /**
+     * Called at the end of a lookup.
+     *
+     * @param outcome the kind of its result, or that its caller has disconnected
+     */
+    void onEnd(RouteLookup lookup, String outcome, long waitedMs);
+  }
+
+  private static final String CALLER_DISCONNECTED = "CallerDisconnected";
+
   /** What the leader has reported for a lookup. */
   private sealed interface Report {
     /** No report has arrived yet. */
@@ -46,20 +59,26 @@
 
   private static final class Entry {
     private final RouteLookup lookup;
+    private final long begunAtMs;
     private Report report = new Report.Awaited();
 
-    private Entry(RouteLookup lookup) {
+    private Entry(RouteLookup lookup, long begunAtMs) {
       this.lookup = lookup;
+      this.begunAtMs = begunAtMs;
     }
   }
 
   private final Map<Target, Deque<Entry>> waiting = new LinkedHashMap<>();
 
-  private RouteLookups() {}
+  private final EndListener endListener;
+
+  private RouteLookups(EndListener endListener) {
+    this.endListener = endListener;
+  }
 
   /** Returns an empty set of lookups. */
-  public static RouteLookups create() {
-    return new RouteLookups();
+  public static RouteLookups create(EndListener endListener) {
+    return new RouteLookups(endListener);
   }
 
   /** Returns whether no request waits for its route. */
@@ -68,18 +87,23 @@
   }
 
   /** Begins a lookup whose route is not in force. */
-  public void begin(RouteLookup lookup) {
-    waiting.computeIfAbsent(Target.of(lookup), t -> new ArrayDeque<>()).add(new Entry(lookup));
+  public void begin(RouteLookup lookup, long nowMs) {
+    waiting
+        .computeIfAbsent(Target.of(lookup), target -> new ArrayDeque<>())
+        .add(new Entry(lookup, nowMs));
   }
 
   /** Cancels a lookup, which gets no result any more. Returns whether it was waiting. */
-  public boolean cancel(RouteLookup lookup) {
+  public boolean cancel(RouteLookup lookup, long nowMs) {
     Target target = Target.of(lookup);
-    Deque<Entry> entries = waiting.get(target);
-    if (entries == null || !entries.removeIf(entry -> entry.lookup == lookup)) {
+    Deque<Entry> entries = waiting.getOrDefault(target, new ArrayDeque<>());
+    Optional<Entry> found = entries.stream().filter(entry -> entry.lookup == lookup).findFirst();
+    if (found.isEmpty()) {
       return false;
     }
+    entries.remove(found.get());
     removeIfEmpty(target, entries);
+    endListener.onEnd(lookup, CALLER_DISCONNECTED, nowMs - found.get().begunAtMs);
     return true;
   }
 
@@ -134,14 +158,15 @@
       if (result.isEmpty()) {
         return;
       }
-      complete(target, entries, result.get());
+      Entry decided = entries.remove();
+      removeIfEmpty(target, entries);
+      complete(decided, result.get(), nowMs);
     }
   }
 
-  private void complete(Target target, Deque<Entry> entries, RouteLookup.Result result) {
-    RouteLookup lookup = entries.remove().lookup;
-    removeIfEmpty(target, entries);
-    lookup.complete(result);
+  private void complete(Entry entry, RouteLookup.Result result, long nowMs) {
+    endListener.onEnd(entry.lookup, result.getClass().getSimpleName(), nowMs - entry.begunAtMs);
+    entry.lookup.complete(result);
   }
 
   private static Optional<RouteLookup.Result> decide(Entry entry, RouteTable table, long nowMs) {
@@ -160,10 +185,10 @@
   }
 
   /** Completes all lookups with the same result. */
-  public void completeAll(RouteLookup.Result result) {
+  public void completeAll(RouteLookup.Result result, long nowMs) {
     for (Target target : List.copyOf(waiting.keySet())) {
       Deque<Entry> entries = waiting.remove(target);
-      entries.forEach(entry -> entry.lookup.complete(result));
+      entries.forEach(entry -> complete(entry, result, nowMs));
     }
   }
 }
--- a/core/src/test/java/io/hingehoist/route/RouteLookupsTest.java
+++ b/core/src/test/java/io/hingehoist/route/RouteLookupsTest.java
@@ -16,14 +16,16 @@
   private static final RouteTable OLD = RouteTable.of(1, List.of());
   private static final RouteTable NEW = RouteTable.of(2, List.of(ROUTE));
 
-  private final RouteLookups lookups = RouteLookups.create();
+  private final List<String> ends = new ArrayList<>();
+  private final RouteLookups lookups =
+      RouteLookups.create((lookup, outcome, waitedMs) -> ends.add(outcome + " " + waitedMs));
   private final List<String> results = new ArrayList<>();
 
   private RouteLookup begin(String name, String path) {
     RouteLookup lookup =
         RouteLookup.of(
             "h", path, result -> results.add(name + " " + result.getClass().getSimpleName()));
-    lookups.begin(lookup);
+    lookups.begin(lookup, 0);
     return lookup;
   }
 
@@ -42,7 +44,20 @@
     lookups.settleAll(NEW, 0);
     assertEquals(takeResults(), List.of("post Found"));
     assertFalse(lookups.isEmpty());
-    lookups.completeAll(new Result.Dropped("end of test"));
+    lookups.completeAll(new Result.Dropped("end of test"), 0);
+    assertTrue(lookups.isEmpty());
+  }
+
+  @Test
+  public void theEndOfEachLookupIsReportedWithItsWait() {
+    ends.clear();
+    RouteLookup left = begin("left", "/n/1");
+    begin("found", "/n/1");
+    begin("dropped", "/m/1");
+    lookups.cancel(left, 20);
+    lookups.settleAll(NEW, 30);
+    lookups.completeAll(new Result.Dropped("paused"), 40);
+    assertEquals(ends, List.of("CallerDisconnected 20", "Found 30", "Dropped 40"));
   }
 
   @Test
@@ -85,8 +100,8 @@
     takeResults();
     RouteLookup first = begin("first", "/n/1");
     RouteLookup second = begin("second", "/n/1");
-    assertTrue(lookups.cancel(first));
-    assertFalse(lookups.cancel(first));
+    assertTrue(lookups.cancel(first, 0));
+    assertFalse(lookups.cancel(first, 0));
     lookups.versionReported(first, 1, OLD, 0);
     assertEquals(takeResults(), List.of());
     lookups.versionReported(second, 1, OLD, 0);
@@ -97,9 +112,9 @@
   @Test
   public void aResultMayBeginTheNextLookupOfItsPath() {
     RouteLookup next = RouteLookup.of("h", "/n/1", result -> results.add("next " + result));
-    RouteLookup first = RouteLookup.of("h", "/n/1", result -> lookups.begin(next));
+    RouteLookup first = RouteLookup.of("h", "/n/1", result -> lookups.begin(next, 0));
     takeResults();
-    lookups.begin(first);
+    lookups.begin(first, 0);
     lookups.versionReported(first, 1, OLD, 0);
     lookups.versionReported(next, 1, OLD, 0);
     assertEquals(takeResults(), List.of("next NotFound[]"));
@@ -115,7 +130,7 @@
   }
 
   private static final class Play {
-    private final RouteLookups lookups = RouteLookups.create();
+    private final RouteLookups lookups = RouteLookups.create((lookup, outcome, waitedMs) -> {});
     private final List<RouteLookup> begun = new ArrayList<>();
     private final List<RouteLookup> completed = new ArrayList<>();
     private final List<RouteLookup> cancelled = new ArrayList<>();
@@ -126,11 +141,11 @@
       RouteLookup lookup = RouteLookup.of("h", path, result -> completed.add(self.getFirst()));
       self.add(lookup);
       begun.add(lookup);
-      lookups.begin(lookup);
+      lookups.begin(lookup, 0);
     }
 
     private void cancel(RouteLookup lookup) {
-      if (lookups.cancel(lookup)) {
+      if (lookups.cancel(lookup, 0)) {
         cancelled.add(lookup);
       }
     }
--- a/daemon/src/main/java/io/hingehoist/owner/RouteFetcher.java
+++ b/daemon/src/main/java/io/hingehoist/owner/RouteFetcher.java
@@ -16,11 +16,13 @@
  * thread-safe: confined to the event loop.
  */
 final class RouteFetcher {
+  private static final int MAX_LOGGED_CHARS = 160;
+
   private final String document;
   private final ControlLinks controls;
   private final DecisionLog log;
   private final RouteDownload download = RouteDownload.create();
-  private final RouteLookups lookups = RouteLookups.create();
+  private final RouteLookups lookups = RouteLookups.create(this::logEnd);
 
   RouteFetcher(String document, ControlLinks controls, DecisionLog log) {
     this.document = document;
@@ -79,7 +81,7 @@
 
   /** Looks up a route in the newest configuration. */
   void begin(RouteLookup lookup) {
-    lookups.begin(lookup);
+    lookups.begin(lookup, EventLoop.nowMs());
     controls.readNewestVersion(document, newest -> onVersion(lookup, newest));
   }
 
@@ -98,6 +100,14 @@
 
   /** Cancels a lookup whose caller has disconnected. */
   void cancel(RouteLookup lookup) {
-    lookups.cancel(lookup);
+    lookups.cancel(lookup, EventLoop.nowMs());
+  }
+
+  private void logEnd(RouteLookup lookup, String outcome, long waitedMs) {
+    String target = lookup.host() + lookup.path();
+    log.write(
+        "routeLookedUp",
+        target.substring(0, Math.min(target.length(), MAX_LOGGED_CHARS)),
+        "result=%s waitedMs=%d version=%d".formatted(outcome, waitedMs, table().version()));
   }
 }
