Owner: a pause or sleep as long as a lease drops requests that wait for their route

An owner that was paused or whose box slept drops its jobs, as their callers have turned to other owners by then. A request that waited for its route was not a job yet: it stayed, and after a sleep, during which no timer advances, it became a job beside the one of the caller's next attempt. A sleep wasn't even looked for while the owner had no jobs.

Cause: handlePause and checkSleep knew jobs only, not the requests from which they come.

Change: both count the requests that wait; they are dropped with the jobs, and their connections reset, as for a job.

--- a/daemon/src/main/java/io/hingehoist/loop/SleepDetector.java
+++ b/daemon/src/main/java/io/hingehoist/loop/SleepDetector.java
@@ -36,7 +36,7 @@
   }
 
   /** Creates a detector that starts at the present times of the given clocks. */
-  static SleepDetector of(LongSupplier monotonicMs, LongSupplier timeOfDayMs) {
+  public static SleepDetector of(LongSupplier monotonicMs, LongSupplier timeOfDayMs) {
     return new SleepDetector(monotonicMs, timeOfDayMs);
   }
 
--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -73,6 +73,7 @@
       Runtime.getRuntime().maxMemory() / TASKS_HEAP_DIVISOR / HEAP_BYTES_PER_TASK;
 
   private static final long RETRY_AFTER_MS = 1_000;
+  private static final String PAUSED = "owner process was paused";
 
   /**
    * The minimum time for which a stopping owner still accepts jobs. By then the platform sends jobs
@@ -105,7 +106,7 @@
   private final HttpServer frontServer;
   private final EvacuatedZonesView zones = EvacuatedZonesView.create();
   private final RouteFetcher routes;
-  private final SleepDetector sleepDetector = SleepDetector.create();
+  private final SleepDetector sleepDetector;
   private final SleepCheck sleepCheck = SleepCheck.create();
   private long suspectedSleepMs;
   private long tickedAtMs;
@@ -117,7 +118,8 @@
       Adapter adapter,
       Metrics metrics,
       DecisionLog log,
-      EventLoop loop)
+      EventLoop loop,
+      SleepDetector sleepDetector)
       throws IOException {
     this.node = node;
     this.settings = settings;
@@ -125,6 +127,7 @@
     this.metrics = metrics;
     this.stop = PlannedStop.of(settings.stopTimeoutSeconds());
     this.log = log;
+    this.sleepDetector = sleepDetector;
     this.loop = NodeLoop.create(loop, stop, this);
     this.timing =
         RunTiming.of(
@@ -175,7 +178,22 @@
       DecisionLog log,
       EventLoop loop)
       throws IOException {
-    OwnerNode owner = new OwnerNode(node, settings, maxBodyBytes, adapter, metrics, log, loop);
+    return start(node, settings, maxBodyBytes, adapter, metrics, log, loop, SleepDetector.create());
+  }
+
+  /** Starts an owner that detects sleeps of its box with the given detector. */
+  static OwnerNode start(
+      NodeSection node,
+      OwnerSection settings,
+      int maxBodyBytes,
+      Adapter adapter,
+      Metrics metrics,
+      DecisionLog log,
+      EventLoop loop,
+      SleepDetector sleepDetector)
+      throws IOException {
+    OwnerNode owner =
+        new OwnerNode(node, settings, maxBodyBytes, adapter, metrics, log, loop, sleepDetector);
     owner.tickedAtMs = EventLoop.nowMs();
     owner.loop.start(() -> owner.controls.open(ControlAddresses.of(node)));
     metrics.addGauge("hingehoist_owner_jobs", "Jobs without an answer.", owner.jobs::jobCount);
@@ -237,12 +255,14 @@
   }
 
   /**
-   * Drops all jobs and sessions after a pause of this process. By now the hosts have stopped this
-   * owner's runs, and its callers may have submitted their jobs to other owners.
+   * Drops all jobs, requests that wait for their route, and sessions after a pause of this process.
+   * By now the hosts have stopped this owner's runs, and its callers may have submitted their jobs
+   * to other owners.
    */
   private void handlePause(long pauseMs) {
     log.write("stoodStill", node.nodeId(), "ms=" + pauseMs + " jobsDropped=" + jobs.jobCount());
-    jobs.dropAll("owner process was paused");
+    jobs.dropAll(PAUSED);
+    routes.dropLookups(PAUSED);
     hosts.endAll();
   }
 
@@ -252,7 +272,8 @@
    */
   private void checkSleep() {
     long sleptMs = sleepDetector.sleptMs();
-    if (sleptMs >= timing.ownerLeaseMs() && jobs.jobCount() > 0) {
+    boolean hasCallers = jobs.jobCount() > 0 || routes.hasLookups();
+    if (sleptMs >= timing.ownerLeaseMs() && hasCallers) {
       suspectedSleepMs = sleptMs;
       int asked = hosts.sendToHostsWithRuns(new SessionProbe(sleepCheck.nextProbeNumber()));
       sleepCheck.begin(asked, EventLoop.nowMs());
--- a/daemon/src/main/java/io/hingehoist/owner/RouteFetcher.java
+++ b/daemon/src/main/java/io/hingehoist/owner/RouteFetcher.java
@@ -103,6 +103,16 @@
     lookups.cancel(lookup, EventLoop.nowMs());
   }
 
+  /** Returns whether a request waits for its route. */
+  boolean hasLookups() {
+    return !lookups.isEmpty();
+  }
+
+  /** Drops all lookups, as their callers may have turned to other owners. */
+  void dropLookups(String reason) {
+    lookups.completeAll(new RouteLookup.Result.Dropped(reason), EventLoop.nowMs());
+  }
+
   private void logEnd(RouteLookup lookup, String outcome, long waitedMs) {
     String target = lookup.host() + lookup.path();
     log.write(
--- a/daemon/src/test/java/io/hingehoist/owner/StartedOwner.java
+++ b/daemon/src/test/java/io/hingehoist/owner/StartedOwner.java
@@ -2,6 +2,7 @@
 
 import io.hingehoist.adapter.JobIntake;
 import io.hingehoist.log.DecisionLog;
+import io.hingehoist.loop.SleepDetector;
 import io.hingehoist.metrics.Metrics;
 import io.hingehoist.net.EventLoop;
 import io.hingehoist.settings.NodeSection;
@@ -23,6 +24,13 @@
   /** Starts an owner to which hosts connect at an address. */
   static StartedOwner start(EventLoop loop, DecisionLog log, String listenAddress)
       throws Exception {
+    return start(loop, log, listenAddress, SleepDetector.create());
+  }
+
+  /** Starts an owner that detects sleeps of its box with the given detector. */
+  static StartedOwner start(
+      EventLoop loop, DecisionLog log, String listenAddress, SleepDetector sleepDetector)
+      throws Exception {
     NodeSection node =
         new NodeSection("o", List.of("owner"), "z", List.of(), 0, "", "", "text", "INFO");
     OwnerSection settings =
@@ -41,7 +49,14 @@
     CompletableFuture<JobIntake> intake = new CompletableFuture<>();
     OwnerNode owner =
         OwnerNode.start(
-            node, settings, MAX_BODY_BYTES, new IntakeAdapter(intake), Metrics.create(), log, loop);
+            node,
+            settings,
+            MAX_BODY_BYTES,
+            new IntakeAdapter(intake),
+            Metrics.create(),
+            log,
+            loop,
+            sleepDetector);
     return new StartedOwner(owner, intake.get(TIMEOUT_S, TimeUnit.SECONDS));
   }
 
