Owner: requests that wait for their route at the end of a planned stop are refused

The number of open exchanges, which a stop waits for, counts requests that wait for routes. When the stop's time is over all the same, such a caller's connection was closed without a response, though it is known that its request was not run.

Change: from 200 ms before the end of a stop, requests that wait for their route get 503 with Retry-After.

Evidence: WaitingRequestsTest.aRequestThatWaitsAtTheEndOfAPlannedStopIsRefused failed with the condition switched off (the request stayed until its own timeout, 1 of 1), passes now.

--- a/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
+++ b/daemon/src/main/java/io/hingehoist/owner/OwnerNode.java
@@ -81,6 +81,12 @@
    */
   private static final long MIN_STOP_SERVING_MS = 2_500;
 
+  /**
+   * The time before the end of a stop at which requests that wait for their route are refused;
+   * several ticks, so that the responses are sent before the process ends.
+   */
+  private static final long STOP_REFUSAL_MS = 200;
+
   /** A stopping owner accepts a job if the time left is at least this multiple of its objective. */
   private static final double STOP_TIME_FACTOR = 1.3;
 
@@ -282,6 +288,9 @@
   }
 
   private void checkStop(long nowMs) {
+    if (stop.remainingMs(nowMs) <= STOP_REFUSAL_MS) {
+      routes.refuseLookups("this box is about to stop");
+    }
     boolean drained =
         stop.elapsedMs(nowMs) >= MIN_STOP_SERVING_MS && frontServer.openExchanges() == 0;
     if (drained || stop.remainingMs(nowMs) <= 0) {
--- a/daemon/src/main/java/io/hingehoist/owner/RouteFetcher.java
+++ b/daemon/src/main/java/io/hingehoist/owner/RouteFetcher.java
@@ -113,6 +113,11 @@
     lookups.completeAll(new RouteLookup.Result.Dropped(reason), EventLoop.nowMs());
   }
 
+  /** Refuses all requests that wait for their route. */
+  void refuseLookups(String reason) {
+    lookups.completeAll(new RouteLookup.Result.Unavailable(reason), EventLoop.nowMs());
+  }
+
   private void logEnd(RouteLookup lookup, String outcome, long waitedMs) {
     String target = lookup.host() + lookup.path();
     log.write(
--- a/daemon/src/test/java/io/hingehoist/owner/StartedOwner.java
+++ b/daemon/src/test/java/io/hingehoist/owner/StartedOwner.java
@@ -19,17 +19,22 @@
 record StartedOwner(OwnerNode node, JobIntake intake) {
   static final long RESUBMIT_AFTER_MS = 1_300;
   private static final long TIMEOUT_S = 10;
+  private static final double STOP_TIMEOUT_S = 1;
   private static final int MAX_BODY_BYTES = 262_144;
 
   /** Starts an owner to which hosts connect at an address. */
   static StartedOwner start(EventLoop loop, DecisionLog log, String listenAddress)
       throws Exception {
-    return start(loop, log, listenAddress, SleepDetector.create());
+    return start(loop, log, listenAddress, STOP_TIMEOUT_S, SleepDetector.create());
   }
 
-  /** Starts an owner that detects sleeps of its box with the given detector. */
+  /** Starts an owner with a timeout of its planned stop and a detector of sleeps of its box. */
   static StartedOwner start(
-      EventLoop loop, DecisionLog log, String listenAddress, SleepDetector sleepDetector)
+      EventLoop loop,
+      DecisionLog log,
+      String listenAddress,
+      double stopTimeoutSeconds,
+      SleepDetector sleepDetector)
       throws Exception {
     NodeSection node =
         new NodeSection("o", List.of("owner"), "z", List.of(), 0, "", "", "text", "INFO");
@@ -42,7 +47,7 @@
             RESUBMIT_AFTER_MS,
             1_000,
             50,
-            1,
+            stopTimeoutSeconds,
             14,
             0,
             "");
--- a/daemon/src/test/java/io/hingehoist/owner/WaitingRequestsTest.java
+++ b/daemon/src/test/java/io/hingehoist/owner/WaitingRequestsTest.java
@@ -22,6 +22,11 @@
  */
 public final class WaitingRequestsTest {
   private static final long TIMEOUT_S = 10;
+  private static final double LONG_STOP_TIMEOUT_S = 10;
+
+  /** Shorter than the wait of a request whose route can't be looked up. */
+  private static final double SHORT_STOP_TIMEOUT_S = 0.35;
+
   private static final Result DROPPED = new Result.Dropped("owner process was paused");
 
   private final AtomicLong sleptMs = new AtomicLong();
@@ -36,10 +41,10 @@
     log = StartedOwner.discardingLog();
   }
 
-  private void startOwner() throws Exception {
+  private void startOwner(double stopTimeoutSeconds) throws Exception {
     SleepDetector detector =
         SleepDetector.of(EventLoop::nowMs, () -> EventLoop.nowMs() + sleptMs.get());
-    owner = StartedOwner.start(loop, log, FreeAddresses.next(), detector);
+    owner = StartedOwner.start(loop, log, FreeAddresses.next(), stopTimeoutSeconds, detector);
   }
 
   @AfterMethod
@@ -63,14 +68,14 @@
   /** A request read before the sleep became a job after it, when its caller had gone elsewhere. */
   @Test
   public void aRequestThatWaitsWhileItsBoxSleepsIsDropped() throws Exception {
-    startOwner();
+    startOwner(LONG_STOP_TIMEOUT_S);
     CompletableFuture<Result> result = lookUpAnd(() -> sleptMs.set(StartedOwner.RESUBMIT_AFTER_MS));
     assertEquals(result.get(TIMEOUT_S, TimeUnit.SECONDS), DROPPED);
   }
 
   @Test
   public void aRequestThatWaitsWhileItsProcessIsPausedIsDropped() throws Exception {
-    startOwner();
+    startOwner(LONG_STOP_TIMEOUT_S);
     CompletableFuture<Result> result = lookUpAnd(WaitingRequestsTest::pauseUntilLeaseIsOver);
     assertEquals(result.get(TIMEOUT_S, TimeUnit.SECONDS), DROPPED);
   }
@@ -81,4 +86,15 @@
       LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(endMs - EventLoop.nowMs()));
     }
   }
+
+  /** Its connection was closed without a response at the end of the process. */
+  @Test
+  public void aRequestThatWaitsAtTheEndOfAPlannedStopIsRefused() throws Exception {
+    startOwner(SHORT_STOP_TIMEOUT_S);
+    CompletableFuture<Result> result = lookUpAnd(() -> {});
+    owner.node().stop();
+    assertEquals(
+        result.get(TIMEOUT_S, TimeUnit.SECONDS),
+        new Result.Unavailable("this box is about to stop"));
+  }
 }
