--- a/daemon/src/main/java/io/hingehoist/net/HttpConnection.java
+++ b/daemon/src/main/java/io/hingehoist/net/HttpConnection.java
@@ -69,7 +69,8 @@
   /** What waits for its turn on the connection. */
   private sealed interface Pending {
     /** A complete request. */
-    record Call(HttpRequest request, boolean keepAlive, long heldBytes) implements Pending {}
+    record Call(HttpRequest request, boolean keepAlive, long heldBytes, long receivedAtMs)
+        implements Pending {}
 
     /** The response to a request that was refused before its end. */
     record Refusal(HttpResponse response) implements Pending {}
@@ -318,7 +319,7 @@
     dropUnfinishedRequest();
     proven = true;
     limiter.recordRequest(this);
-    waiting.add(new Pending.Call(request, keepAlive, requestBytes));
+    waiting.add(new Pending.Call(request, keepAlive, requestBytes, lastReadAtMs));
     waitingBytes += requestBytes;
     handleWaiting();
     updateReading();
@@ -388,7 +389,8 @@
             call.request(),
             response -> onAnswered(response, call.keepAlive()),
             this::onAborted,
-            loop);
+            loop,
+            call.receivedAtMs());
     inFlight = Optional.of(exchange);
     server.handle(exchange);
   }
--- a/daemon/src/main/java/io/hingehoist/net/HttpExchange.java
+++ b/daemon/src/main/java/io/hingehoist/net/HttpExchange.java
@@ -13,19 +13,27 @@
   private final Consumer<HttpResponse> responses;
   private final Runnable resetConnection;
   private final EventLoop loop;
+  private final long receivedAtMs;
   private final List<Runnable> cancellations = new ArrayList<>(1);
   private Runnable cancelTimeout = () -> {};
   private boolean ended;
 
+  /**
+   * Creates an exchange that has not ended.
+   *
+   * @param receivedAtMs when the last byte of the request was read
+   */
   HttpExchange(
       HttpRequest request,
       Consumer<HttpResponse> responses,
       Runnable resetConnection,
-      EventLoop loop) {
+      EventLoop loop,
+      long receivedAtMs) {
     this.request = request;
     this.responses = responses;
     this.resetConnection = resetConnection;
     this.loop = loop;
+    this.receivedAtMs = receivedAtMs;
   }
 
   /** Returns the request. */
@@ -68,13 +76,20 @@
   }
 
   /**
-   * Sets the time after which the caller counts as disconnected unless the response was sent. The
-   * end of a connection is not received if the network loses it.
+   * Sets the time from the receipt of the request after which the caller counts as disconnected
+   * unless the response was sent. The end of a connection is not received if the network loses it.
+   * The request may have waited for others on its connection, so that the time may be over.
    */
   public void disconnectAfter(long timeoutMs) {
     cancelTimeout.run();
-    if (!ended) {
-      cancelTimeout = loop.schedule(this::timeOut, timeoutMs);
+    long remainingMs = receivedAtMs + timeoutMs - EventLoop.nowMs();
+    if (ended) {
+      return;
+    }
+    if (remainingMs <= 0) {
+      timeOut();
+    } else {
+      cancelTimeout = loop.schedule(this::timeOut, remainingMs);
     }
   }
 
--- a/daemon/src/test/java/io/hingehoist/net/HttpServerTest.java
+++ b/daemon/src/test/java/io/hingehoist/net/HttpServerTest.java
@@ -98,6 +98,29 @@
     assertEquals(events.poll(TIMEOUT_S, TimeUnit.SECONDS), "later work cancelled");
   }
 
+  /** A job began anew for a caller that had long submitted it to another owner. */
+  @Test
+  public void theTimeForWhichARequestWaitsOnItsConnectionCountsToItsDeadline() throws Exception {
+    long timeoutMs = 50;
+    int pipelinedPort = FreeAddresses.nextPort();
+    BlockingQueue<HttpExchange> exchanges = new LinkedBlockingQueue<>();
+    try (HttpServer pipelined =
+            HttpServer.open(loop, "127.0.0.1:" + pipelinedPort, MAX_BODY_BYTES, exchanges::add);
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), pipelinedPort)) {
+      socket.getOutputStream().write((text(0) + text(0)).getBytes(StandardCharsets.US_ASCII));
+      HttpExchange first = exchanges.poll(TIMEOUT_S, TimeUnit.SECONDS);
+      loop.schedule(() -> first.answer(HttpResponse.text(200, "done")), timeoutMs);
+      HttpExchange second = exchanges.poll(TIMEOUT_S, TimeUnit.SECONDS);
+      loop.execute(
+          () -> {
+            second.disconnectAfter(timeoutMs);
+            second.startWork(() -> events.add("started"), () -> events.add("cancelled"));
+            events.add("open exchanges: " + pipelined.openExchanges());
+          });
+      assertEquals(events.poll(TIMEOUT_S, TimeUnit.SECONDS), "open exchanges: 0");
+    }
+  }
+
   /** A process ran out of memory while it held as many large bodies as there were callers. */
   @Test
   public void aBodyBeyondTheBudgetIsRefusedUntilAnotherIsAnswered() throws Exception {
@@ -132,8 +155,12 @@
   }
 
   private static byte[] request(int bodyBytes) {
+    return text(bodyBytes).getBytes(StandardCharsets.US_ASCII);
+  }
+
+  private static String text(int bodyBytes) {
     String head = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + bodyBytes + "\r\n\r\n";
-    return (head + "b".repeat(bodyBytes)).getBytes(StandardCharsets.US_ASCII);
+    return head + "b".repeat(bodyBytes);
   }
 
   private static void awaitUninterruptibly(CountDownLatch latch) {
