Lookups: the listener gets the result itself; tests share the pause of a lease

Read as a newcomer: the listener of RouteLookups took a text for the outcome, where the result's own type says it. Two tests had the same wait, now in StartedOwner. Lines of the log and behaviour are as before.

--- a/core/src/main/java/io/hingehoist/route/RouteLookups.java
+++ b/core/src/main/java/io/hingehoist/route/RouteLookups.java
@@ -32,13 +32,11 @@
     /**
      * Called at the end of a lookup.
      *
-     * @param outcome the kind of its result, or that its caller has disconnected
+     * @param result the result; empty if the lookup was cancelled
      */
-    void onEnd(RouteLookup lookup, String outcome, long waitedMs);
+    void onEnd(RouteLookup lookup, Optional<RouteLookup.Result> result, long waitedMs);
   }
 
-  private static final String CALLER_DISCONNECTED = "CallerDisconnected";
-
   /** What the leader has reported for a lookup. */
   private sealed interface Report {
     /** No report has arrived yet. */
@@ -69,7 +67,6 @@
   }
 
   private final Map<Target, Deque<Entry>> waiting = new LinkedHashMap<>();
-
   private final EndListener endListener;
 
   private RouteLookups(EndListener endListener) {
@@ -103,7 +100,7 @@
     }
     entries.remove(found.get());
     removeIfEmpty(target, entries);
-    endListener.onEnd(lookup, CALLER_DISCONNECTED, nowMs - found.get().begunAtMs);
+    endListener.onEnd(lookup, Optional.empty(), nowMs - found.get().begunAtMs);
     return true;
   }
 
@@ -165,7 +162,7 @@
   }
 
   private void complete(Entry entry, RouteLookup.Result result, long nowMs) {
-    endListener.onEnd(entry.lookup, result.getClass().getSimpleName(), nowMs - entry.begunAtMs);
+    endListener.onEnd(entry.lookup, Optional.of(result), nowMs - entry.begunAtMs);
     entry.lookup.complete(result);
   }
 
--- a/core/src/test/java/io/hingehoist/route/RouteLookupsTest.java
+++ b/core/src/test/java/io/hingehoist/route/RouteLookupsTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 public final class RouteLookupsTest {
@@ -17,9 +18,18 @@
   private static final RouteTable NEW = RouteTable.of(2, List.of(ROUTE));
 
   private final List<String> ends = new ArrayList<>();
-  private final RouteLookups lookups =
-      RouteLookups.create((lookup, outcome, waitedMs) -> ends.add(outcome + " " + waitedMs));
   private final List<String> results = new ArrayList<>();
+  private RouteLookups lookups;
+
+  @BeforeMethod
+  public void create() {
+    ends.clear();
+    results.clear();
+    lookups =
+        RouteLookups.create(
+            (lookup, result, waitedMs) ->
+                ends.add(result.map(Object::toString).orElse("cancelled") + " " + waitedMs));
+  }
 
   private RouteLookup begin(String name, String path) {
     RouteLookup lookup =
@@ -38,7 +48,6 @@
   /** A job was submitted after a request that cancels it, as that found the route in force. */
   @Test
   public void aLookupIsCompletedAsSoonAsItsRouteIsInForce() {
-    takeResults();
     begin("post", "/n/1");
     begin("other", "/m/1");
     lookups.settleAll(NEW, 0);
@@ -50,19 +59,19 @@
 
   @Test
   public void theEndOfEachLookupIsReportedWithItsWait() {
-    ends.clear();
     RouteLookup left = begin("left", "/n/1");
     begin("found", "/n/1");
     begin("dropped", "/m/1");
     lookups.cancel(left, 20);
     lookups.settleAll(NEW, 30);
     lookups.completeAll(new Result.Dropped("paused"), 40);
-    assertEquals(ends, List.of("CallerDisconnected 20", "Found 30", "Dropped 40"));
+    assertEquals(
+        ends,
+        List.of("cancelled 20", new Result.Found(ROUTE) + " 30", "Dropped[reason=paused] 40"));
   }
 
   @Test
   public void resultsOfOnePathComeInTheOrderOfTheirRequests() {
-    takeResults();
     RouteLookup post = begin("post", "/n/1");
     RouteLookup delete = begin("delete", "/n/1");
     RouteLookup other = begin("other", "/n/2");
@@ -78,7 +87,6 @@
 
   @Test
   public void aMissingReportRefusesItsRequest() {
-    takeResults();
     RouteLookup lookup = begin("a", "/n/1");
     lookups.versionMissing(lookup, OLD, 0);
     assertEquals(takeResults(), List.of("a Unavailable"));
@@ -86,7 +94,6 @@
 
   @Test
   public void routesThatDoNotArriveInTimeRefuseTheirRequest() {
-    takeResults();
     RouteLookup lookup = begin("a", "/n/1");
     lookups.versionReported(lookup, 2, OLD, 1_000);
     lookups.settleAll(OLD, 1_000 + DOWNLOAD_TIMEOUT_MS - 1);
@@ -97,7 +104,6 @@
 
   @Test
   public void aCancelledLookupGetsNoResultAndDoesNotHoldUpOthers() {
-    takeResults();
     RouteLookup first = begin("first", "/n/1");
     RouteLookup second = begin("second", "/n/1");
     assertTrue(lookups.cancel(first, 0));
@@ -113,7 +119,6 @@
   public void aResultMayBeginTheNextLookupOfItsPath() {
     RouteLookup next = RouteLookup.of("h", "/n/1", result -> results.add("next " + result));
     RouteLookup first = RouteLookup.of("h", "/n/1", result -> lookups.begin(next, 0));
-    takeResults();
     lookups.begin(first, 0);
     lookups.versionReported(first, 1, OLD, 0);
     lookups.versionReported(next, 1, OLD, 0);
@@ -130,7 +135,7 @@
   }
 
   private static final class Play {
-    private final RouteLookups lookups = RouteLookups.create((lookup, outcome, waitedMs) -> {});
+    private final RouteLookups lookups = RouteLookups.create((lookup, result, waitedMs) -> {});
     private final List<RouteLookup> begun = new ArrayList<>();
     private final List<RouteLookup> completed = new ArrayList<>();
     private final List<RouteLookup> cancelled = new ArrayList<>();
--- a/daemon/src/main/java/io/hingehoist/owner/RouteFetcher.java
+++ b/daemon/src/main/java/io/hingehoist/owner/RouteFetcher.java
@@ -17,6 +17,7 @@
  */
 final class RouteFetcher {
   private static final int MAX_LOGGED_CHARS = 160;
+  private static final String CALLER_DISCONNECTED = "CallerDisconnected";
 
   private final String document;
   private final ControlLinks controls;
@@ -118,7 +119,9 @@
     lookups.completeAll(new RouteLookup.Result.Unavailable(reason), EventLoop.nowMs());
   }
 
-  private void logEnd(RouteLookup lookup, String outcome, long waitedMs) {
+  private void logEnd(RouteLookup lookup, Optional<RouteLookup.Result> result, long waitedMs) {
+    String outcome =
+        result.map(ended -> ended.getClass().getSimpleName()).orElse(CALLER_DISCONNECTED);
     String target = lookup.host() + lookup.path();
     log.write(
         "routeLookedUp",
--- a/daemon/src/test/java/io/hingehoist/owner/PausedOwnerTest.java
+++ b/daemon/src/test/java/io/hingehoist/owner/PausedOwnerTest.java
@@ -46,7 +46,6 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.concurrent.locks.LockSupport;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -156,13 +155,6 @@
         new JobPlan(jobId, "q", service, "", 0, 3, 10_000, 10_000, List.of(step)), waiter);
   }
 
-  private static void pauseUntilLeaseIsOver() {
-    long endMs = EventLoop.nowMs() + StartedOwner.RESUBMIT_AFTER_MS;
-    while (EventLoop.nowMs() < endMs) {
-      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(endMs - EventLoop.nowMs()));
-    }
-  }
-
   @DataProvider
   public static Object[][] submittedBeforePause() {
     return new Object[][] {{true}, {false}};
@@ -178,11 +170,11 @@
     ownerLoop.execute(
         () -> {
           if (!submittedBefore) {
-            pauseUntilLeaseIsOver();
+            StartedOwner.pauseUntilLeaseIsOver();
           }
           submit("second").thenAccept(end::complete);
           if (submittedBefore) {
-            pauseUntilLeaseIsOver();
+            StartedOwner.pauseUntilLeaseIsOver();
           }
         });
     JobEnd dropped = end.get(TIMEOUT_S, TimeUnit.SECONDS);
@@ -216,7 +208,7 @@
 
   private static void pauseFrom(AtomicLong startMs) {
     startMs.set(EventLoop.nowMs());
-    pauseUntilLeaseIsOver();
+    StartedOwner.pauseUntilLeaseIsOver();
   }
 
   @Test
@@ -237,7 +229,7 @@
           () -> {
             paused.countDown();
             awaitUninterruptibly(sent);
-            pauseUntilLeaseIsOver();
+            StartedOwner.pauseUntilLeaseIsOver();
           });
       assertTrue(paused.await(TIMEOUT_S, TimeUnit.SECONDS));
       writeFrame(out, new SessionResumed(SESSION, 0));
--- a/daemon/src/test/java/io/hingehoist/owner/StartedOwner.java
+++ b/daemon/src/test/java/io/hingehoist/owner/StartedOwner.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 /** An owner, and its intake of jobs in place of an adapter. */
 record StartedOwner(OwnerNode node, JobIntake intake) {
@@ -70,4 +71,12 @@
     return DecisionLog.start(
         "o", new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8));
   }
+
+  /** Blocks the calling thread for as long as an owner's lease. */
+  static void pauseUntilLeaseIsOver() {
+    long endMs = EventLoop.nowMs() + RESUBMIT_AFTER_MS;
+    while (EventLoop.nowMs() < endMs) {
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(endMs - EventLoop.nowMs()));
+    }
+  }
 }
--- a/daemon/src/test/java/io/hingehoist/owner/WaitingRequestsTest.java
+++ b/daemon/src/test/java/io/hingehoist/owner/WaitingRequestsTest.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.concurrent.locks.LockSupport;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -76,17 +75,10 @@
   @Test
   public void aRequestThatWaitsWhileItsProcessIsPausedIsDropped() throws Exception {
     startOwner(LONG_STOP_TIMEOUT_S);
-    CompletableFuture<Result> result = lookUpAnd(WaitingRequestsTest::pauseUntilLeaseIsOver);
+    CompletableFuture<Result> result = lookUpAnd(StartedOwner::pauseUntilLeaseIsOver);
     assertEquals(result.get(TIMEOUT_S, TimeUnit.SECONDS), DROPPED);
   }
 
-  private static void pauseUntilLeaseIsOver() {
-    long endMs = EventLoop.nowMs() + StartedOwner.RESUBMIT_AFTER_MS;
-    while (EventLoop.nowMs() < endMs) {
-      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(endMs - EventLoop.nowMs()));
-    }
-  }
-
   /** Its connection was closed without a response at the end of the process. */
   @Test
   public void aRequestThatWaitsAtTheEndOfAPlannedStopIsRefused() throws Exception {
